--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -157,8 +157,7 @@
         JobSpec typical;
         double ratio = 1;  // actual over estimated run time
         std::uint32_t samples = 0;
-        double mean = 0;
-        double square = 0;
+        double mean = 0;  // of tasks wanted at once
         bool seen = false;
         TimePoint last{};
     };
@@ -213,6 +212,7 @@
 
     // renting.cpp
     std::uint32_t wanted(const Job& job, TimePoint now) const;
+    std::uint32_t wanted_typical(const ClassStats& stats) const;
     void learn_demand(const std::map<std::string, double>& demand, TimePoint now);
 
     Config config_;
--- a/src/core/placing.cpp
+++ b/src/core/placing.cpp
@@ -276,9 +276,12 @@
         const bool gang = job->spec.kind == Kind::gang;
         if (gang && job->spec.tasks > 1 && job->spec.spread) continue;
         const auto may_stop = [&](const Job& other) {
+            const bool other_guaranteed = standing.guaranteed.contains(other.serial);
+            // Guard against two jobs that stop each other in turn: what a guarantee has taken
+            // back is not taken again by a borrower's priority.
+            if (other_guaranteed && !guaranteed) return false;
             if (other.spec.priority < job->spec.priority) return true;
-            return guaranteed && other.spec.team != job->spec.team &&
-                   !standing.guaranteed.contains(other.serial);
+            return guaranteed && !other_guaranteed && other.spec.team != job->spec.team;
         };
         std::uint32_t want = std::min(job->idle_count(), room_in_limit(*job, standing));
         if (gang && want < job->spec.tasks) continue;
--- a/src/core/renting.cpp
+++ b/src/core/renting.cpp
@@ -33,6 +33,16 @@
     return static_cast<std::uint32_t>(std::ceil(left / rounds));
 }
 
+// The part of a typical job of a class that runs at once.
+std::uint32_t Controller::wanted_typical(const ClassStats& stats) const {
+    if (stats.typical.kind != Kind::array) return stats.typical.tasks;
+    if (!stats.typical.deadline) return stats.typical.tasks;
+    const double run = std::max(stats.typical.estimate.count() * stats.ratio, 0.5);
+    const double rounds =
+        std::max(1.0, std::floor(stats.typical.deadline->count() * slack_used / run));
+    return static_cast<std::uint32_t>(std::ceil(stats.typical.tasks / rounds));
+}
+
 void Controller::learn_demand(const std::map<std::string, double>& demand, TimePoint now) {
     for (auto& [name, stats] : classes_) {
         const auto it = demand.find(name);
@@ -40,7 +50,6 @@
         if (!stats.seen) {
             stats.seen = true;
             stats.mean = value;
-            stats.square = value * value;
             stats.last = now;
             continue;
         }
@@ -48,7 +57,6 @@
         stats.last = now;
         const double weight = 1 - std::exp(-passed / config_.demand_memory.count());
         stats.mean += (value - stats.mean) * weight;
-        stats.square += (value * value - stats.square) * weight;
     }
 }
 
@@ -79,10 +87,11 @@
     }
     learn_demand(demand, now);
     for (const auto& [name, stats] : classes_) {
-        const double deviation =
-            std::sqrt(std::max(0.0, stats.square - stats.mean * stats.mean));
-        const auto target =
-            static_cast<std::uint32_t>(std::ceil(stats.mean + config_.headroom * deviation - 0.5));
+        // Jobs arrive on their own, so the spread of demand in whole jobs is about that of counts.
+        const double a_job = std::max(1.0, static_cast<double>(wanted_typical(stats)));
+        const double deviation = std::sqrt(stats.mean * a_job);
+        const auto target = static_cast<std::uint32_t>(
+            std::floor(stats.mean + config_.headroom * deviation + 0.5));
         const auto have = asked.contains(name) ? asked.at(name) : 0;
         if (target > have) wants.push_back({&stats.typical, target - have, true, 1000});
     }
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -19,18 +19,28 @@
 constexpr std::size_t most_ranges = 1500;
 
 // Builds the document, but gives up on nesting that no message of ours has: the parser recurses,
-// and 64 KiB of opening brackets would run a small thread stack over.
+// and 64 KiB of opening brackets would run a small thread stack over. A claimed length beyond any
+// body is refused here too: the base class throws on one, through every `parse`.
 class BoundedBuilder : public nlohmann::detail::json_sax_dom_parser<Value> {
   public:
     using Base = nlohmann::detail::json_sax_dom_parser<Value>;
     explicit BoundedBuilder(Value& root) : Base(root, false) {}
-    bool start_object(std::size_t n) { return ++depth_ <= deepest && Base::start_object(n); }
+    bool start_object(std::size_t n) {
+        return plausible(n) && ++depth_ <= deepest && Base::start_object(n);
+    }
     bool end_object() { return --depth_, Base::end_object(); }
-    bool start_array(std::size_t n) { return ++depth_ <= deepest && Base::start_array(n); }
+    bool start_array(std::size_t n) {
+        return plausible(n) && ++depth_ <= deepest && Base::start_array(n);
+    }
     bool end_array() { return --depth_, Base::end_array(); }
     bool binary(Value::binary_t&) { return false; }
 
   private:
+    static bool plausible(std::size_t n) {
+        constexpr auto indefinite = static_cast<std::size_t>(-1);
+        constexpr std::size_t longest_answer = 4 * 1024 * 1024;
+        return n == indefinite || n <= longest_answer;
+    }
     int depth_ = 0;
 };
 
--- /dev/null
+++ b/tests/standin/world.cpp
@@ -0,0 +1,435 @@
+#include "standin/world.hpp"
+
+#include <cmath>
+#include <stdexcept>
+
+namespace bendspindle::standin {
+
+namespace {
+
+using core::Seconds;
+using core::TaskState;
+
+std::vector<std::string> split(const std::string& text, char by) {
+    std::vector<std::string> out;
+    std::string word;
+    std::istringstream in(text);
+    while (std::getline(in, word, by))
+        if (!word.empty()) out.push_back(word);
+    return out;
+}
+
+}  // namespace
+
+World::World() {
+    config_.name = "c0";
+    config_.zones = {"a", "b"};
+    config_.workers = {Seconds(2), Seconds(10), Seconds(30), Seconds(4), Seconds(30)};
+    config_.least_paid = Seconds(1);
+}
+
+core::TimePoint World::at() const { return core::later(core::TimePoint{}, Seconds(now_)); }
+
+void World::fail(const std::string& why) const {
+    throw std::runtime_error("at " + std::to_string(now_ - 100) + " s: " + why);
+}
+
+std::string World::option(const Words& words, const std::string& name,
+                          const std::string& other) const {
+    for (const auto& word : words)
+        if (word.starts_with(name + "=")) return word.substr(name.size() + 1);
+    return other;
+}
+
+double World::number(const Words& words, const std::string& name, double other) const {
+    const auto text = option(words, name, "");
+    return text.empty() ? other : std::stod(text);
+}
+
+void World::take_over() {
+    controller_ = std::make_unique<core::Controller>(config_, ++epoch_);
+    controller_->set_types(types_);
+    for (const auto& [name, record] : records_)
+        controller_->load_machine(record.first, record.second, at());
+    for (const auto& [id, record] : jobs_) controller_->load_job(record.first, record.second, at());
+}
+
+void World::write_records() {
+    if (!controller_ || !state_up_) return;
+    const auto changes = controller_->changes(48, at());
+    if (changes.empty()) return;
+    const auto stamp = ++revision_;
+    for (const auto& change : changes) {
+        using What = core::Change::What;
+        if (change.what == What::put_job) {
+            jobs_[change.id] = {change.job, stamp};
+        } else if (change.what == What::finish_job) {
+            jobs_.erase(change.id);
+            if (finals_.contains(change.id)) fail("a final record is written twice");
+            finals_[change.id] = change.job.final;
+        } else if (change.what == What::put_machine) {
+            records_[change.id] = {change.machine, stamp};
+        } else {
+            records_.erase(change.id);
+        }
+    }
+    controller_->written(changes, stamp, at());
+}
+
+void World::started(const std::string& job, std::uint32_t index, const Worker& on) {
+    start_order_.push_back(job + "/" + std::to_string(index) + "@" + on.name);
+    for (const auto& [name, other] : workers_)
+        if (name != on.name && other.holds(job, index))
+            fail("ran_twice: " + job + "/" + std::to_string(index) + " on " + name + " and " +
+                 on.name);
+    const auto& spec = specs_.at(job);
+    if (on.spot && !spec.spot) fail("wrong_place: " + job + " on a spot machine");
+    if (spec.zone && *spec.zone != on.zone) fail("wrong_place: " + job + " in zone " + on.zone);
+    if (spec.types && std::find(spec.types->begin(), spec.types->end(), on.type) ==
+                          spec.types->end())
+        fail("wrong_place: " + job + " on type " + on.type);
+    std::map<std::string, std::uint32_t> zones;
+    for (const auto& [name, other] : workers_)
+        for (std::uint32_t i = 0; i < spec.tasks; ++i)
+            if (other.holds(job, i)) ++zones[other.zone];
+    if (spec.one_zone && zones.size() > 1) fail("wrong_place: " + job + " in two zones");
+    if (spec.spread)
+        for (const auto& [zone, n] : zones)
+            if (n > (spec.tasks + 1) / 2) fail("wrong_place: too much of " + job + " in " + zone);
+    if (cancelled_at_.contains(job) && now_ - cancelled_at_[job] > config_.workers.cancel.count())
+        fail("ran_cancelled: " + job + " started late");
+}
+
+void World::deliver(Worker& worker, const core::Report& report, bool answered) {
+    if (!controller_) return;
+    const auto answer = controller_->report(report, at());
+    if (!answered || !answer.entitled) return;
+    if (answer.token < worker.token) return;
+    if (report.session != worker.session) return;
+    // A token that rises is a change, and changes are reported soon.
+    if (answer.token > worker.token) worker.next_report = now_ + 0.5;
+    worker.token = answer.token;
+    worker.last_answered = now_;
+    for (const auto& order : answer.orders) {
+        const bool known = specs_.contains(order.job);
+        const double run = known ? run_time_[order.job] : 1;
+        const double save = known && specs_[order.job].checkpoint > Seconds{0}
+                                ? specs_[order.job].save_time.count()
+                                : 0;
+        const bool cached = known && worker.images.contains(specs_[order.job].image);
+        const double fetch = known && !cached ? specs_[order.job].image_gb : 0;
+        const bool was = worker.holds(order.job, order.index);
+        worker.execute(order, run, fetch, save);
+        if (order.verb == core::Order::Verb::start && !was && worker.holds(order.job, order.index))
+            started(order.job, order.index, worker);
+    }
+}
+
+void World::advance(Worker& worker, double dt) {
+    if (worker.hung) return;
+    bool changed = false;
+    for (auto& task : worker.tasks) {
+        const auto before = task.state;
+        const bool gang = specs_[task.job].kind == core::Kind::gang;
+        switch (task.state) {
+            case TaskState::fetching:
+                if ((task.fetch_left -= dt) > 0) break;
+                worker.images.insert(specs_[task.job].image);
+                task.state = gang && specs_[task.job].tasks > 1 ? TaskState::waiting
+                                                                : TaskState::running;
+                break;
+            case TaskState::waiting: {
+                std::uint32_t ready = 0;
+                for (const auto& [name, other] : workers_)
+                    for (const auto& t : other.tasks)
+                        if (t.job == task.job && t.attempt == task.attempt &&
+                            (t.state == TaskState::waiting || t.state == TaskState::running))
+                            ++ready;
+                if (ready == specs_[task.job].tasks) task.state = TaskState::running;
+                break;
+            }
+            case TaskState::running:
+                if (specs_[task.job].kind == core::Kind::service) break;
+                if ((task.run_left -= dt) > 0) break;
+                task.state = TaskState::exited;
+                task.cause = core::ExitCause::done;
+                completed_[task.job][task.index] = true;
+                break;
+            case TaskState::saving:
+                if ((task.save_left -= dt) > 0) break;
+                task.state = TaskState::exited;
+                task.cause = core::ExitCause::stopped;
+                task.saved = true;
+                break;
+            case TaskState::exited:
+                break;
+        }
+        changed = changed || before != task.state;
+    }
+    if (changed) worker.next_report = std::min(worker.next_report, now_);
+    if (now_ - worker.last_answered > config_.workers.lease.count()) {
+        worker.tasks.clear();
+        ++worker.session;
+        worker.seq = 0;
+        worker.last_answered = now_;
+    }
+}
+
+void World::check_rules() {
+    std::map<std::string, core::Resources> use;
+    for (const auto& [name, worker] : workers_)
+        for (const auto& task : worker.tasks) {
+            if (task.state == TaskState::exited) continue;
+            const auto& spec = specs_.at(task.job);
+            use[spec.team] += spec.need;
+            if (cancelled_at_.contains(task.job) &&
+                now_ - cancelled_at_[task.job] > config_.workers.cancel.count())
+                fail("ran_cancelled: " + task.job + " is still on " + name);
+        }
+    for (const auto& team : config_.teams) {
+        const auto& used = use[team.name];
+        if (team.limit.cpus > 0 && used.cpus > team.limit.cpus + 1e-6) fail("quota: cpus");
+        if (team.limit.gpus > 0 && used.gpus > team.limit.gpus + 1e-6) fail("quota: gpus");
+    }
+    for (const auto& [id, final] : finals_) {
+        if (final != core::Final::done) continue;
+        if (specs_.at(id).kind == core::Kind::array && completed_[id].size() < specs_.at(id).tasks)
+            fail("not_done: " + id);
+        if (completed_[id].empty()) fail("not_done: " + id);
+    }
+    if (!controller_) return;
+    for (const auto& [id, spec] : specs_) {
+        const auto status = controller_->status(id);
+        const auto final = status ? status->final
+                           : finals_.contains(id) ? finals_.at(id)
+                                                  : core::Final::none;
+        if (told_[id] != core::Final::none && final != told_[id]) fail("went_back: " + id);
+        if (final != core::Final::none) told_[id] = final;
+        if (!status && !finals_.contains(id) && jobs_.contains(id)) fail("forgotten: " + id);
+    }
+}
+
+void World::step() {
+    now_ += dt_;
+    for (auto it = booting_.begin(); it != booting_.end();) {
+        if (it->first > now_) {
+            ++it;
+            continue;
+        }
+        it->second.last_answered = it->second.next_report = now_;
+        workers_[it->second.name] = it->second;
+        it = booting_.erase(it);
+    }
+    for (auto& [name, worker] : workers_) {
+        if (worker.dead) continue;
+        if (worker.notice) *worker.notice = std::max(0.0, *worker.notice - dt_);
+        advance(worker, dt_);
+        if (worker.hung || now_ < worker.next_report) continue;
+        worker.next_report = now_ + config_.workers.report.count();
+        const auto report = worker.report();
+        if (worker.reachable) deliver(worker, report, true);
+    }
+    write_records();
+    if (controller_) {
+        controller_->cycle(at());
+        auto plan = controller_->plan_renting(at());
+        if (cloud_up_) {
+            for (const auto& name : plan.release) {
+                workers_.erase(name);
+                released_.insert(name);
+            }
+            controller_->released(plan.release, at());
+            for (const auto& request : plan.rent) {
+                if (!auto_rent_) continue;
+                std::vector<std::string> names;
+                for (std::uint32_t i = 0; i < request.count && capacity_ > 0; ++i) {
+                    --capacity_;
+                    Worker worker;
+                    worker.name = "rented" + std::to_string(++rented_);
+                    worker.type = request.type;
+                    worker.zone = request.zone;
+                    worker.spot = request.spot;
+                    booting_.push_back({now_ + boot_, worker});
+                    names.push_back(worker.name);
+                }
+                controller_->rented(request, names, at());
+            }
+        }
+    }
+    write_records();
+    check_rules();
+}
+
+void World::expect(const Words& words) {
+    const auto& what = words.at(1);
+    const auto must = [&](bool ok) {
+        if (ok) return;
+        std::string all;
+        for (const auto& word : words) all += word + " ";
+        std::string orders;
+        for (const auto& start : start_order_) orders += " " + start;
+        fail("not so: " + all + "; starts:" + orders);
+    };
+    if (what == "starts") {
+        // The jobs of the first starts, in order.
+        Words jobs;
+        for (const auto& start : start_order_) {
+            const auto job = start.substr(0, start.find('/'));
+            if (jobs.empty() || jobs.back() != job) jobs.push_back(job);
+        }
+        for (std::size_t i = 2; i < words.size(); ++i)
+            must(jobs.size() > i - 2 && jobs[i - 2] == words[i]);
+    } else if (what == "started") {
+        const bool any = std::any_of(start_order_.begin(), start_order_.end(), [&](const auto& s) {
+            return s.starts_with(words.at(2) + "/");
+        });
+        must(any == (words.at(3) == "yes"));
+    } else if (what == "on") {  // expect on JOB/INDEX MACHINE
+        const auto slash = words.at(2).find('/');
+        const auto job = words[2].substr(0, slash);
+        const auto index = static_cast<std::uint32_t>(std::stoul(words[2].substr(slash + 1)));
+        if (words.at(3) == "nowhere") {
+            for (const auto& [name, worker] : workers_) must(!worker.holds(job, index));
+        } else {
+            must(workers_.contains(words[3]) && workers_.at(words[3]).holds(job, index));
+        }
+    } else if (what == "running") {
+        std::size_t n = 0;
+        for (const auto& [name, worker] : workers_)
+            for (const auto& task : worker.tasks)
+                if (task.job == words.at(2) && task.state != TaskState::exited) ++n;
+        must(n == std::stoul(words.at(3)));
+    } else if (what == "final") {
+        const auto it = finals_.find(words.at(2));
+        const auto final = it == finals_.end() ? core::Final::none : it->second;
+        must((words.at(3) == "done" && final == core::Final::done) ||
+             (words.at(3) == "cancelled" && final == core::Final::cancelled) ||
+             (words.at(3) == "none" && final == core::Final::none));
+    } else if (what == "machines") {
+        must(workers_.size() + booting_.size() == std::stoul(words.at(2)));
+    } else if (what == "released") {
+        must(released_.contains(words.at(2)) == (words.at(3) == "yes"));
+    } else if (what == "verdict") {
+        const auto verdict = controller_->check(specs_.at(words.at(2)));
+        must((verdict == core::Verdict::fits) == (words.at(3) == "fits"));
+    } else {
+        fail("unknown expectation " + what);
+    }
+}
+
+void World::line(const std::string& text) {
+    const auto words = split(text.substr(0, text.find('#')), ' ');
+    if (words.empty()) return;
+    const auto& verb = words[0];
+    if (verb == "type") {
+        core::MachineType type;
+        type.name = words.at(1);
+        type.size = {number(words, "cpus", 8), number(words, "gpus", 0),
+                     number(words, "memory", 64)};
+        type.cache_gb = number(words, "cache", 100);
+        type.fetch_gb_per_s = 1;
+        type.price = number(words, "price", 1);
+        type.spot_price = number(words, "spot-price", 0.3);
+        type.boot = Seconds(number(words, "boot", 10));
+        type.zones = config_.zones;
+        types_.push_back(type);
+    } else if (verb == "team") {
+        core::Team team;
+        team.name = words.at(1);
+        team.guaranteed = {number(words, "cpus", 0), number(words, "gpus", 0), 0};
+        team.limit = {number(words, "cpus-max", 0), number(words, "gpus-max", 0), 0};
+        config_.teams.push_back(team);
+    } else if (verb == "controller" || verb == "takeover") {
+        take_over();
+    } else if (verb == "crash") {
+        controller_.reset();
+    } else if (verb == "machine") {
+        Worker worker;
+        worker.name = words.at(1);
+        worker.type = words.at(2);
+        worker.zone = words.at(3);
+        worker.spot = option(words, "spot", "no") == "yes";
+        worker.faulty = option(words, "faulty", "no") == "yes";
+        if (const auto image = option(words, "image", ""); !image.empty())
+            worker.images.insert(image);
+        worker.last_answered = worker.next_report = now_;
+        workers_[worker.name] = worker;
+    } else if (verb == "job") {
+        core::JobSpec spec;
+        spec.id = words.at(1);
+        spec.job_class = option(words, "class", "c");
+        spec.team = option(words, "team", config_.teams.empty() ? "t" : config_.teams[0].name);
+        const auto kind = option(words, "kind", "array");
+        spec.kind = kind == "gang"      ? core::Kind::gang
+                    : kind == "service" ? core::Kind::service
+                                        : core::Kind::array;
+        const auto priority = option(words, "priority", "normal");
+        spec.priority = priority == "low"    ? core::Priority::low
+                        : priority == "high" ? core::Priority::high
+                                             : core::Priority::normal;
+        spec.tasks = static_cast<std::uint32_t>(number(words, "tasks", 1));
+        spec.need = {number(words, "cpus", 1), number(words, "gpus", 0), number(words, "memory", 1)};
+        spec.image = option(words, "image", "img");
+        spec.image_gb = number(words, "image-gb", 0);
+        if (const auto zone = option(words, "zone", ""); !zone.empty()) spec.zone = zone;
+        if (const auto types = option(words, "types", ""); !types.empty())
+            spec.types = split(types, ',');
+        spec.one_zone = option(words, "one-zone", "no") == "yes";
+        spec.spread = option(words, "spread", "no") == "yes";
+        spec.spot = option(words, "spot", "no") == "yes";
+        const double run = number(words, "run", 10);
+        run_time_[spec.id] = run;
+        spec.estimate = Seconds(number(words, "estimate", run));
+        spec.checkpoint = Seconds(number(words, "checkpoint", 0));
+        spec.save_time = Seconds(number(words, "save", 0));
+        specs_[spec.id] = spec;
+        if (option(words, "submit", "yes") == "yes")
+            controller_->accept(spec, core::WallTime{} + std::chrono::seconds(specs_.size()), at());
+        write_records();
+    } else if (verb == "cancel") {
+        controller_->cancel(words.at(1), at());
+        write_records();
+        cancelled_at_[words[1]] = now_;
+    } else if (verb == "run") {
+        const double until = now_ + std::stod(words.at(1));
+        while (now_ < until - 1e-9) step();
+    } else if (verb == "cut" || verb == "heal") {
+        workers_.at(words.at(1)).reachable = verb == "heal";
+    } else if (verb == "hang" || verb == "resume") {
+        workers_.at(words.at(1)).hung = verb == "hang";
+    } else if (verb == "notice") {
+        workers_.at(words.at(1)).notice = std::stod(words.at(2));
+        workers_.at(words.at(1)).next_report = now_;
+    } else if (verb == "kill") {
+        workers_.at(words.at(1)).dead = true;
+        workers_.at(words.at(1)).tasks.clear();
+    } else if (verb == "hold-report") {
+        // The report is made now and arrives later; its answer is lost.
+        held_reports_.push_back({words.at(1), workers_.at(words.at(1)).report()});
+    } else if (verb == "deliver-held") {
+        for (const auto& held : held_reports_)
+            if (workers_.contains(held.worker))
+                deliver(workers_.at(held.worker), held.report, false);
+        held_reports_.clear();
+    } else if (verb == "lose-answer") {
+        // A report is handled, but the worker gave up waiting: no order takes effect.
+        auto& worker = workers_.at(words.at(1));
+        deliver(worker, worker.report(), false);
+    } else if (verb == "state") {
+        state_up_ = words.at(1) == "up";
+    } else if (verb == "cloud") {
+        cloud_up_ = words.at(1) == "up";
+    } else if (verb == "rent") {
+        auto_rent_ = words.at(1) == "yes";
+        capacity_ = static_cast<int>(number(words, "capacity", 1000));
+        boot_ = number(words, "boot", 5);
+    } else if (verb == "keep-idle") {
+        config_.idle_return = Seconds(std::stod(words.at(1)));
+    } else if (verb == "expect") {
+        expect(words);
+    } else {
+        fail("unknown verb " + verb);
+    }
+}
+
+}  // namespace bendspindle::standin
--- /dev/null
+++ b/tests/standin/world.hpp
@@ -0,0 +1,72 @@
+// A deployment in simulated time: workers, a cloud, durable records, and the rules checked at
+// every step. Scenarios (tests/scenarios/*.scn) drive it.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "core/controller.hpp"
+#include "standin/worker.hpp"
+
+namespace bendspindle::standin {
+
+class World {
+  public:
+    World();
+    // Executes one line of a scenario; throws std::runtime_error when an expectation fails.
+    void line(const std::string& text);
+
+  private:
+    using Words = std::vector<std::string>;
+    struct Held {
+        std::string worker;
+        core::Report report;
+    };
+
+    std::string option(const Words& words, const std::string& name, const std::string& other) const;
+    double number(const Words& words, const std::string& name, double other) const;
+    void step();
+    void deliver(Worker& worker, const core::Report& report, bool answered);
+    void advance(Worker& worker, double dt);
+    void write_records();
+    void take_over();
+    void check_rules();
+    void started(const std::string& job, std::uint32_t index, const Worker& on);
+    void expect(const Words& words);
+    core::TimePoint at() const;
+    [[noreturn]] void fail(const std::string& why) const;
+
+    double now_ = 100;
+    double dt_ = 0.25;
+    core::Config config_;
+    std::vector<core::MachineType> types_;
+    std::uint64_t epoch_ = 0;
+    std::unique_ptr<core::Controller> controller_;
+    // Durable records, as the state service would hold them.
+    std::uint64_t revision_ = 1;
+    bool state_up_ = true;
+    std::map<std::string, std::pair<core::JobRecord, std::uint64_t>> jobs_;
+    std::map<std::string, core::Final> finals_;
+    std::map<std::string, std::pair<core::ListedMachine, std::uint64_t>> records_;
+    std::map<std::string, Worker> workers_;
+    std::map<std::string, core::JobSpec> specs_;
+    std::map<std::string, double> run_time_;
+    std::map<std::string, double> cancelled_at_;
+    std::map<std::string, core::Final> told_;
+    std::vector<Held> held_reports_;
+    std::vector<std::string> start_order_;
+    std::map<std::string, std::map<std::uint32_t, bool>> completed_;
+    bool cloud_up_ = true;
+    bool auto_rent_ = false;
+    int rented_ = 0;
+    int capacity_ = 1000;
+    double boot_ = 5;
+    std::vector<std::pair<double, Worker>> booting_;
+    std::set<std::string> released_;
+};
+
+}  // namespace bendspindle::standin
