Believe learned demand less once a class falls silent

Cause: after the last arrivals idle machines were kept for minutes, and ordinary machines were rented ahead of work that spot machines can do.

--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -52,9 +52,9 @@
     std::string log_level;  // empty: LOG_LEVEL, else info
     core::Seconds cycle{2};
     core::Seconds lease{4};
-    core::Seconds idle_return{30};
+    core::Seconds idle_return{15};
     core::Seconds least_paid{60};
-    core::Seconds demand_memory{120};
+    core::Seconds demand_memory{60};
     double headroom = 1.0;
     std::size_t threads = 160;
     std::size_t stack_kb = 256;
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -131,6 +131,13 @@
     job->submitted = submitted;
     job->accepted_at = now;
     job->accepted_here = true;
+    auto& stats = classes_[spec.job_class];
+    if (stats.arrivals > 0) {
+        const auto gap = between(stats.last_arrival, now);
+        stats.gap += (gap - stats.gap) / std::min<double>(stats.arrivals, 8);
+    }
+    ++stats.arrivals;
+    stats.last_arrival = now;
     changed(add_job(std::move(job)), now);
     return true;
 }
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -33,13 +33,13 @@
     WorkerTimes workers;
     Seconds cycle{2};
     // Idle machines are returned after this, when the learned demand does not want them.
-    Seconds idle_return{30};
+    Seconds idle_return{15};
     // A machine that is deleted is paid for this long in any case.
     Seconds least_paid{60};
     // Standard deviations of learned demand that are kept ready beyond its mean.
     double headroom = 1.0;
     // Demand is averaged over about this long.
-    Seconds demand_memory{120};
+    Seconds demand_memory{60};
 };
 
 struct Machine {
@@ -160,6 +160,9 @@
         double mean = 0;  // of tasks wanted at once
         bool seen = false;
         TimePoint last{};
+        Seconds gap{0};  // between arrivals of its jobs
+        TimePoint last_arrival{};
+        std::uint32_t arrivals = 0;
     };
     struct PoolKey {
         std::string type, zone;
@@ -212,6 +215,7 @@
 
     // renting.cpp
     std::uint32_t wanted(const Job& job, TimePoint now) const;
+    double still_coming(const ClassStats& stats, TimePoint now) const;
     std::uint32_t wanted_typical(const ClassStats& stats) const;
     void learn_demand(const std::map<std::string, double>& demand, TimePoint now);
 
--- a/src/core/renting.cpp
+++ b/src/core/renting.cpp
@@ -33,6 +33,16 @@
     return static_cast<std::uint32_t>(std::ceil(left / rounds));
 }
 
+// When a class has been silent for longer than its jobs usually are apart, what was learned of it
+// is believed less and less: the day's work may be over, and idle machines cost as much as busy
+// ones.
+double Controller::still_coming(const ClassStats& stats, TimePoint now) const {
+    if (stats.arrivals < 2) return 1;
+    const auto silent = between(stats.last_arrival, now);
+    if (silent <= stats.gap * 2) return 1;
+    return stats.gap / (silent - stats.gap);
+}
+
 // The part of a typical job of a class that runs at once.
 std::uint32_t Controller::wanted_typical(const ClassStats& stats) const {
     if (stats.typical.kind != Kind::array) return stats.typical.tasks;
@@ -89,9 +99,9 @@
     for (const auto& [name, stats] : classes_) {
         // Jobs arrive on their own, so the spread of demand in whole jobs is about that of counts.
         const double a_job = std::max(1.0, static_cast<double>(wanted_typical(stats)));
-        const double deviation = std::sqrt(stats.mean * a_job);
+        const double mean = stats.mean * still_coming(stats, now);
         const auto target = static_cast<std::uint32_t>(
-            std::floor(stats.mean + config_.headroom * deviation + 0.5));
+            std::floor(mean + config_.headroom * std::sqrt(mean * a_job) + 0.5));
         const auto have = asked.contains(name) ? asked.at(name) : 0;
         if (target > have) wants.push_back({&stats.typical, target - have, true, 1000});
     }
@@ -170,6 +180,8 @@
                 for (const auto& z : types_[t].zones)
                     for (const bool spot : {true, false}) {
                         if (!allowed(spec, types_[t].name, z, spot)) continue;
+                        // Ordinary machines are not kept ahead of work that spot ones can do.
+                        if (want.expected && spec.spot && !spot) continue;
                         if (together && zone && *zone != z) continue;
                         const PoolKey pool{types_[t].name, z, spot};
                         const auto pause = no_capacity_until_.find(pool);
