--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -127,6 +127,13 @@
         t.limit.gpus = team.number_or("gpus_max", 0);
         s.teams.push_back(std::move(t));
     }
+    for (const auto& aim : deployment.list("objectives")) {
+        const auto kind = aim.text("kind");
+        if (kind == "wait")
+            s.objectives.start_within[aim.text("class")] = aim.seconds("within_s");
+        else if (kind == "guarantee")
+            s.objectives.guaranteed_start = aim.seconds("within_s");
+    }
     const auto workers = deployment.sub("workers");
     s.workers = {workers.seconds("report_s"), workers.seconds("lease_s"),
                  workers.seconds("gang_wait_s"), workers.seconds("gang_peer_s"),
@@ -218,6 +225,7 @@
     config.zones = settings.zones;
     config.teams = settings.teams;
     config.workers = settings.workers;
+    config.objectives = settings.objectives;
     config.cycle = own.cycle;
     config.idle_return = own.idle_return;
     config.least_paid = own.least_paid;
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -40,6 +40,7 @@
     std::vector<std::string> zones;
     std::vector<core::Team> teams;
     core::WorkerTimes workers;
+    core::Objectives objectives;
     StateLimits state_limits;
     double cloud_requests_per_s = 1;
     core::Seconds list_lag{5};
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -31,6 +31,7 @@
     std::vector<std::string> zones;
     std::vector<Team> teams;
     WorkerTimes workers;
+    Objectives objectives;
     Seconds cycle{2};
     // Idle machines are returned after this, when the learned demand does not want them.
     Seconds idle_return{15};
@@ -215,6 +216,10 @@
 
     // renting.cpp
     std::uint32_t wanted(const Job& job, TimePoint now) const;
+    Seconds boot_of(const JobSpec& spec) const;
+    double headroom_for(const ClassStats& stats) const;
+    // How much longer a waiting job may wait for a machine to free up, by its class's aim.
+    Seconds patience(const Job& job, TimePoint now) const;
     double still_coming(const ClassStats& stats, TimePoint now) const;
     std::uint32_t wanted_typical(const ClassStats& stats) const;
     void learn_demand(const std::map<std::string, double>& demand, TimePoint now);
--- a/src/core/renting.cpp
+++ b/src/core/renting.cpp
@@ -33,6 +33,42 @@
     return static_cast<std::uint32_t>(std::ceil(left / rounds));
 }
 
+// The longest boot among the types a job may use: which one is to be had is not known before.
+Seconds Controller::boot_of(const JobSpec& spec) const {
+    Seconds longest{0};
+    for (const auto& type : types_)
+        if (type.size.holds(spec.need) &&
+            std::any_of(type.zones.begin(), type.zones.end(), [&](const std::string& zone) {
+                return allowed(spec, type.name, zone, false);
+            }))
+            longest = std::max(longest, type.boot);
+    return longest;
+}
+
+// Machines are kept ready beyond mean demand only for classes that cannot wait for a boot.
+double Controller::headroom_for(const ClassStats& stats) const {
+    const auto& spec = stats.typical;
+    constexpr double slow_boot = 1.3;
+    constexpr double patient_share = 0.5;
+    auto wait = Seconds::max();
+    if (spec.deadline) wait = *spec.deadline - spec.estimate * stats.ratio;
+    const auto aim = config_.objectives.start_within.find(spec.job_class);
+    if (aim != config_.objectives.start_within.end()) wait = std::min(wait, aim->second);
+    const auto team = std::find_if(config_.teams.begin(), config_.teams.end(),
+                                   [&](const Team& t) { return t.name == spec.team; });
+    const bool guaranteed =
+        team != config_.teams.end() && (team->guaranteed.cpus > 0 || team->guaranteed.gpus > 0);
+    if (guaranteed && config_.objectives.guaranteed_start)
+        wait = std::min(wait, *config_.objectives.guaranteed_start);
+    return config_.headroom * (wait > boot_of(spec) * slow_boot ? patient_share : 1.0);
+}
+
+Seconds Controller::patience(const Job& job, TimePoint now) const {
+    const auto aim = config_.objectives.start_within.find(job.spec.job_class);
+    if (aim == config_.objectives.start_within.end()) return Seconds{0};
+    return aim->second * slack_used - between(job.accepted_at, now);
+}
+
 // When a class has been silent for longer than its jobs usually are apart, what was learned of it
 // is believed less and less: the day's work may be over, and idle machines cost as much as busy
 // ones.
@@ -84,6 +120,20 @@
     std::map<std::string, double> demand;
     std::map<std::string, std::uint32_t> asked;
     const auto standing = this->standing();
+    // Tasks that fill a machine for a gang, by when they are expected to end.
+    struct Ending {
+        Seconds in;
+        const Job* job;
+        std::uint32_t index;
+    };
+    std::vector<Ending> ending;
+    for (const auto& [serial, job] : jobs_)
+        for (const auto& [index, placement] : job->placed)
+            if (job->spec.kind == Kind::gang && placement.stage == Placement::Stage::on &&
+                usable(machines_.at(placement.machine), now))
+                ending.push_back({remaining(*job, placement, now), job.get(), index});
+    std::sort(ending.begin(), ending.end(),
+              [](const Ending& a, const Ending& b) { return a.in < b.in; });
     for (const auto& [serial, job] : jobs_) {
         if (job->over() || !job->durable) continue;
         auto n = wanted(*job, now);
@@ -93,7 +143,21 @@
         classes_[job->spec.job_class].typical = job->spec;
         demand[job->spec.job_class] += n;
         asked[job->spec.job_class] += n;
-        if (n > 0) wants.push_back({&job->spec, n, false, rank_of(*job, standing)});
+        if (n == 0) continue;
+        // A machine that frees up before the job's start is due serves it as well as a new one.
+        if (job->spec.kind == Kind::gang && job->spec.tasks == 1 && job->placed.empty()) {
+            const auto slot = std::find_if(ending.begin(), ending.end(), [&](const Ending& e) {
+                return e.in < patience(*job, now) && e.job->spec.need.holds(job->spec.need) &&
+                       allowed(job->spec, machines_.at(e.job->placed.at(e.index).machine));
+            });
+            if (slot != ending.end()) {
+                slot->in += expected_run(*job);
+                std::sort(ending.begin(), ending.end(),
+                          [](const Ending& a, const Ending& b) { return a.in < b.in; });
+                continue;
+            }
+        }
+        wants.push_back({&job->spec, n, false, rank_of(*job, standing)});
     }
     learn_demand(demand, now);
     for (const auto& [name, stats] : classes_) {
@@ -101,7 +165,7 @@
         const double a_job = std::max(1.0, static_cast<double>(wanted_typical(stats)));
         const double mean = stats.mean * still_coming(stats, now);
         const auto target = static_cast<std::uint32_t>(
-            std::floor(mean + config_.headroom * std::sqrt(mean * a_job) + 0.5));
+            std::floor(mean + headroom_for(stats) * std::sqrt(mean * a_job) + 0.5));
         const auto have = asked.contains(name) ? asked.at(name) : 0;
         if (target > have) wants.push_back({&stats.typical, target - have, true, 1000});
     }
--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -93,6 +94,12 @@
     Resources limit;  // 0 in a field: no limit on it
 };
 
+// What users expect of a class: the settings' aims, as far as planning uses them.
+struct Objectives {
+    std::map<std::string, Seconds> start_within;  // by class
+    std::optional<Seconds> guaranteed_start;      // work within a team's guarantee
+};
+
 struct WorkerTimes {
     Seconds report{3};
     Seconds lease{20};
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -24,6 +24,8 @@
             "deployment": {
                 "zones": ["a", "b"],
                 "teams": [{"name": "t", "gpus": 4, "gpus_max": 8}],
+                "objectives": [{"kind": "wait", "class": "c", "within_s": 12, "share": 0.8},
+                               {"kind": "new-kind", "x": 1}],
                 "workers": {"report_s": 3, "lease_s": 19, "gang_wait_s": 50, "gang_peer_s": 4,
                             "cancel_s": 39},
                 "state": {"rps": 150, "write_rps": 60, "value_kb": 32, "txn_ops": 48},
@@ -63,6 +65,7 @@
     EXPECT_EQ(s.siblings.at(0).endpoint.port, 8081);
     EXPECT_DOUBLE_EQ(s.teams.at(0).limit.gpus, 8);
     EXPECT_DOUBLE_EQ(s.workers.lease.count(), 19);
+    EXPECT_DOUBLE_EQ(s.objectives.start_within.at("c").count(), 12);
 }
 
 TEST_F(SettingsFile, WrongOnesNameFileAndField) {
--- a/tests/standin/world.cpp
+++ b/tests/standin/world.cpp
@@ -423,6 +423,8 @@
         auto_rent_ = words.at(1) == "yes";
         capacity_ = static_cast<int>(number(words, "capacity", 1000));
         boot_ = number(words, "boot", 5);
+    } else if (verb == "start-within") {
+        config_.objectives.start_within[words.at(1)] = Seconds(std::stod(words.at(2)));
     } else if (verb == "keep-idle") {
         config_.idle_return = Seconds(std::stod(words.at(1)));
     } else if (verb == "expect") {
