--- a/src/app/membership.cpp
+++ b/src/app/membership.cpp
@@ -43,6 +43,19 @@
     if (epoch > standing_.epoch) steward_seen_ = 0;
 }
 
+void Membership::heard(std::uint64_t epoch, const std::string& steward) {
+    bool was_acting = false;
+    {
+        const std::lock_guard lock(mutex_);
+        if (epoch <= standing_.epoch) return;
+        was_acting = standing_.acting;
+        standing_ = {epoch, steward, false, 0};
+    }
+    if (!was_acting) return;
+    spdlog::info("{} acts under epoch {}; acting no more", steward, epoch);
+    events_.deposed();
+}
+
 void Membership::step_down() {
     bool was_acting = false;
     {
--- a/src/app/membership.hpp
+++ b/src/app/membership.hpp
@@ -37,6 +37,8 @@
     bool lease_valid() const;
     // Somebody has proof that another controller acts under a higher epoch.
     void suspect(std::uint64_t epoch);
+    // A sibling's word that it acts. A higher epoch ends this controller's own acting.
+    void heard(std::uint64_t epoch, const std::string& steward);
 
   private:
     void renew();
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -20,6 +20,7 @@
 constexpr seconds health_memory{6};
 constexpr milliseconds least_between_cycles{250};
 constexpr milliseconds load_retry{300};
+constexpr milliseconds announce_every{1000};
 // A worker back within this time has not reached the controller it was sent to.
 constexpr seconds redirect_memory{15};
 // After this long its reports are no longer handed on; it is sent there again.
@@ -43,7 +44,8 @@
                   {[this](std::uint64_t epoch, std::uint64_t stamp) { take_over(epoch, stamp); },
                    [this] { stand_down(); }}),
       recorder_(office_, store_, finals_, settings_.state_limits),
-      cloud_(office_, settings_) {
+      cloud_(office_, settings_),
+      courier_(office_) {
     for (const auto& sibling : settings_.siblings)
         siblings_[sibling.name] = std::make_unique<io::PeerClient>(sibling.endpoint, peer_limit);
 }
@@ -324,6 +326,10 @@
         case wire::peer::Op::report:
             reply = report(request.body, From::sibling);
             break;
+        case wire::peer::Op::view:
+            membership_.heard(request.epoch, request.id);
+            reply.status = 200;
+            break;
     }
     return {static_cast<std::uint16_t>(reply.status),
             static_cast<std::uint16_t>(reply.retry_after), membership_.standing().epoch,
@@ -337,6 +343,22 @@
            now - last_sibling_answer_.load() < health_memory;
 }
 
+// Tells siblings who acts, so that a former controller that the state service refuses, or that is
+// slow to notice, steps back before workers lose time with it.
+void Service::announce() {
+    for (;;) {
+        const auto standing = membership_.standing();
+        if (standing.acting)
+            for (auto& [name, sibling] : siblings_)
+                if (const auto answer = sibling->call(
+                        {wire::peer::Op::view, standing.epoch, settings_.name, {}})) {
+                    last_sibling_answer_ = Clock::now();
+                    if (answer->epoch > standing.epoch) membership_.suspect(answer->epoch);
+                }
+        std::this_thread::sleep_for(announce_every);
+    }
+}
+
 void Service::place() {
     auto next = Clock::now();
     for (;;) {
@@ -348,7 +370,13 @@
             lock.lock();
         }
         office_.place_pending = false;
-        if (office_.controller) office_.controller->cycle(Clock::now());
+        std::vector<core::DirectCall> calls;
+        if (office_.controller) {
+            office_.controller->cycle(Clock::now());
+            calls = office_.controller->direct_calls(Clock::now());
+        }
+        lock.unlock();
+        for (auto& call : calls) courier_.send(std::move(call));
         next = Clock::now() + least_between_cycles;
     }
 }
@@ -405,6 +433,8 @@
     std::thread([this] { membership_.run(); }).detach();
     std::thread([this] { recorder_.run(); }).detach();
     std::thread([this] { place(); }).detach();
+    std::thread([this] { announce(); }).detach();
+    courier_.start();
     std::thread([&peers] { peers.run(); }).detach();
     spdlog::info("{} serves", settings_.name);
     return http.listen_after_bind();
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -10,6 +10,7 @@
 #include <unordered_map>
 
 #include "app/cloud_desk.hpp"
+#include "app/courier.hpp"
 #include "app/membership.hpp"
 #include "app/office.hpp"
 #include "app/recorder.hpp"
@@ -58,6 +59,7 @@
     bool load(core::Controller& controller);
     void stand_down();
     void place();
+    void announce();
 
     Settings settings_;
     OperatorSettings own_;
@@ -67,6 +69,7 @@
     Membership membership_;
     Recorder recorder_;
     CloudDesk cloud_;
+    Courier courier_;
     std::map<std::string, std::unique_ptr<io::PeerClient>> siblings_;
     std::atomic<Clock::time_point> last_sibling_answer_{Clock::time_point{}};
     // Workers that came back although they had been sent to the acting controller.
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -302,6 +302,78 @@
     return machine;
 }
 
+void Controller::observe(Machine& machine, const Report& report, TimePoint now) {
+    if (report.session != machine.session) machine.unanswered.clear();
+    machine.session = report.session;
+    machine.seq = report.seq;
+    machine.last_report = now;
+    machine.reported = true;
+    if (report.notice && !machine.taken_at) machine.taken_at = later(now, *report.notice);
+    if (!report.notice) machine.taken_at.reset();
+}
+
+std::vector<DirectCall> Controller::direct_calls(TimePoint now) {
+    constexpr Seconds ask_again{3};
+    std::vector<DirectCall> out;
+    for (auto& [name, machine] : machines_) {
+        if (machine.call_out || machine.address.empty() || machine.releasing) continue;
+        DirectCall call{name, machine.address, epoch_, std::max<std::uint64_t>(machine.session, 1),
+                        {}};
+        if (machine.durable && !machine.confirmed) {
+            // Each recorded machine is asked at once after a takeover: a former controller that
+            // does not know it is one may keep the workers' reports to itself.
+            if (machine.last_call != TimePoint{} && between(machine.last_call, now) < ask_again)
+                continue;
+        } else {
+            start_ready(machine, now, true, call.orders);
+            if (call.orders.empty()) continue;
+        }
+        machine.call_out = true;
+        machine.last_call = now;
+        out.push_back(std::move(call));
+    }
+    return out;
+}
+
+void Controller::called(const DirectCall& call, CallOutcome outcome, const Report* answer,
+                        TimePoint now) {
+    const auto it = machines_.find(call.machine);
+    if (it == machines_.end()) return;
+    auto& machine = it->second;
+    machine.call_out = false;
+    for (const auto& order : call.orders) {
+        if (order.verb != Order::Verb::start) continue;
+        if (outcome == CallOutcome::unknown) machine.unanswered.insert({order.job, order.attempt});
+        auto* job = find(order.job);
+        if (!job) continue;
+        const auto placed = job->placed.find(order.index);
+        if (placed == job->placed.end()) continue;
+        auto& placement = placed->second;
+        if (placement.attempt != order.attempt || placement.machine != call.machine ||
+            placement.stage != Placement::Stage::ordered || !placement.in_flight)
+            continue;
+        if (outcome == CallOutcome::executed && answer) {
+            placement.in_flight = false;
+            placement.ordered_session = answer->session;
+            placement.ordered_seq = answer->seq - 1;
+        } else if (outcome == CallOutcome::rejected) {
+            placement.in_flight = false;
+            placement.stage = Placement::Stage::bound;
+        }
+    }
+    if (!answer || answer->token > epoch_) return;
+    if (std::pair(answer->session, answer->seq) <= std::pair(machine.session, machine.seq)) return;
+    // The worker was asked under a wrong session; the right one is tried at once.
+    if (answer->session != call.session) machine.last_call = TimePoint{};
+    observe(machine, *answer, now);
+    if (answer->token < epoch_) return;
+    if (!machine.confirmed) machine.idle_since = now;
+    machine.confirmed = true;
+    // What it would order goes out with the next report; nothing here depends on its arrival.
+    std::vector<Order> later_orders;
+    reconcile(machine, *answer, now, later_orders);
+}
+
 ReportAnswer Controller::report(const Report& report, TimePoint now) {
     if (report.token > epoch_) return {false, epoch_, {}};
     ReportAnswer answer{true, epoch_, {}};
@@ -313,12 +385,7 @@
         return answer;
     if (!machine.reported && report.session == 1 && between(machine.first_seen, now) > Seconds{1})
         boot_seen_[machine.type_name] = between(machine.first_seen, now);
-    machine.session = report.session;
-    machine.seq = report.seq;
-    machine.last_report = now;
-    machine.reported = true;
-    if (report.notice && !machine.taken_at) machine.taken_at = later(now, *report.notice);
-    if (!report.notice) machine.taken_at.reset();
+    observe(machine, report, now);
     // Guard against ran_twice: until the machine has seen this token, a start of the former
     // epoch may still take effect after the list was made.
     if (report.token < epoch_) return answer;
@@ -338,7 +405,7 @@
         answer.orders.push_back({Order::Verb::stop, jobs_.at(serial)->spec.id, index,
                                  placement.attempt, placement.grace});
     }
-    start_ready(machine, now, answer.orders);
+    start_ready(machine, now, false, answer.orders);
     if (!machine.held.empty()) machine.idle_since = now;
     return answer;
 }
@@ -347,7 +414,6 @@
                            std::vector<Order>& orders) {
     machine.tasks = report.tasks;
     std::set<std::pair<std::uint64_t, std::uint32_t>> seen;
-    std::vector<Job*> finished;
     for (const auto& task : report.tasks) {
         auto* job = find(task.job);
         // All open jobs are in memory before the first report is handled, so an unknown one is
@@ -374,7 +440,8 @@
                               phase != TaskPhase::durable;
             const bool last = task.cause == ExitCause::done && job->final == Final::done &&
                               !job->final_durable;
-            if (!keep && !last)
+            const bool may_return = machine.unanswered.contains({task.job, task.attempt});
+            if (!keep && !last && !may_return)
                 orders.push_back({Order::Verb::forget, task.job, task.index, task.attempt, {}});
             continue;
         }
@@ -383,43 +450,39 @@
             seen.insert({job->serial, task.index});
             if (placement.stage != Placement::Stage::on) placement.since = now;
             placement.stage = Placement::Stage::on;
+            placement.in_flight = false;
             const bool was_running = placement.state == TaskState::running;
             placement.state = task.state;
             if (task.state == TaskState::running && !was_running) placement.running_from = now;
             if (task.state != TaskState::fetching) note_image(machine, *job);
             continue;
         }
-        const bool free_to_adopt = !job->over() && it == job->placed.end() &&
-                                   job->phase[task.index] == TaskPhase::idle &&
-                                   allowed(job->spec, machine);
-        // Adopted gangs must be of one attempt; the older rest is stopped.
+        if (it != job->placed.end()) {
+            orders.push_back({Order::Verb::stop, task.job, task.index, task.attempt, {}});
+            continue;
+        }
+        // Guard against ran_twice after a takeover: whatever a confirmed machine runs takes the
+        // task's place, wanted or not, so that nothing starts elsewhere before it is gone. This
+        // holds while the catalog is not read yet, too: the type is judged only when known.
         const bool same_gang =
             job->spec.kind != Kind::gang ||
             std::all_of(job->placed.begin(), job->placed.end(), [&](const auto& other) {
                 return other.second.attempt == task.attempt;
             });
+        const bool wanted = !job->over() && job->phase[task.index] == TaskPhase::idle &&
+                            same_gang && (!machine.type_known || allowed(job->spec, machine));
         Placement placement;
         placement.machine = machine.name;
         placement.attempt = task.attempt;
         placement.stage = Placement::Stage::on;
         placement.state = task.state;
         placement.since = placement.running_from = now;
-        if (free_to_adopt) {
-            if (!same_gang) stop(*job, placement, Seconds{0});
-            job->phase[task.index] = TaskPhase::placed;
-            job->placed[task.index] = placement;
-            machine.held.insert({job->serial, task.index});
-            seen.insert({job->serial, task.index});
-            if (task.state != TaskState::fetching) note_image(machine, *job);
-        } else if (it == job->placed.end() && job->over()) {
-            // Over, yet on a machine: held until the report shows it gone.
-            stop(*job, placement, Seconds{0});
-            job->placed[task.index] = placement;
-            machine.held.insert({job->serial, task.index});
-            seen.insert({job->serial, task.index});
-        } else {
-            orders.push_back({Order::Verb::stop, task.job, task.index, task.attempt, {}});
-        }
+        if (!wanted) stop(*job, placement, Seconds{0});
+        if (job->phase[task.index] == TaskPhase::idle) job->phase[task.index] = TaskPhase::placed;
+        job->placed[task.index] = placement;
+        machine.held.insert({job->serial, task.index});
+        seen.insert({job->serial, task.index});
+        if (task.state != TaskState::fetching) note_image(machine, *job);
     }
 
     const auto held = machine.held;
@@ -428,6 +491,14 @@
         auto& job = *jobs_.at(key.first);
         auto& placement = job.placed.at(key.second);
         if (placement.stage == Placement::Stage::bound) continue;
+        if (placement.in_flight && report.session == placement.ordered_session) {
+            // Once the call is given up, the same start is repeated the sure way: the worker
+            // then has the attempt, and a late copy of the call does nothing.
+            if (!machine.call_out && !job.over() && !placement.stopping)
+                orders.push_back({Order::Verb::start, job.spec.id, key.second, placement.attempt,
+                                  {}});
+            continue;
+        }
         if (placement.stage == Placement::Stage::ordered) {
             // The worker sent this report after it took or gave up the answer with the start, so
             // the start has not happened and never will.
@@ -554,7 +625,8 @@
     }
 }
 
-void Controller::start_ready(Machine& machine, TimePoint now, std::vector<Order>& orders) {
+void Controller::start_ready(Machine& machine, TimePoint now, bool direct,
+                             std::vector<Order>& orders) {
     if (!usable(machine, now)) return;
     std::vector<std::pair<Job*, std::uint32_t>> ready;
     Resources taken;
@@ -587,6 +659,7 @@
         placement.stage = Placement::Stage::ordered;
         placement.ordered_session = machine.session;
         placement.ordered_seq = machine.seq;
+        placement.in_flight = direct;
         placement.since = now;
         ++counts_.starts;
         orders.push_back({Order::Verb::start, job->spec.id, index, placement.attempt, {}});
@@ -639,6 +712,7 @@
             }
         }
         auto [it, fresh] = machines_.try_emplace(entry.name);
+        if (it->second.address.empty()) it->second.address = entry.address;
         if (!fresh) continue;
         // A machine that nobody here asked for: a late rental, or one of a former steward.
         auto& machine = it->second;
@@ -682,7 +756,9 @@
         }
         if (pass != 1) continue;
         for (const auto& [name, machine] : machines_) {
-            if (machine.durable || machine.releasing || !machine.type_known) continue;
+            // Recorded once it is up and its address is known: before that nothing can start there.
+            if (machine.durable || machine.releasing || !machine.type_known || !machine.reported)
+                continue;
             if (!room(1)) return out;
             ++operations;
             Change change;
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -69,10 +69,26 @@
     std::set<std::pair<std::uint64_t, std::uint32_t>> held;  // placements: job serial, task
     std::deque<std::pair<std::string, double>> images;       // most recently used last
     std::set<std::string> failed_jobs;
+    bool call_out = false;  // one direct call at a time
+    TimePoint last_call{};
+    // Attempts whose direct start was never answered: a late copy may still arrive, and would
+    // start them again if the worker had been told to forget them.
+    std::set<std::pair<std::string, std::uint64_t>> unanswered;
 
     bool draining() const { return releasing || failing || taken_at.has_value(); }
 };
 
+// Orders that go to a worker's own address instead of waiting for its next report. Without
+// orders it raises the worker's token and brings its report back.
+struct DirectCall {
+    std::string machine;
+    std::string address;
+    std::uint64_t token = 0;
+    std::uint64_t session = 0;
+    std::vector<Order> orders;
+};
+enum class CallOutcome : std::uint8_t { executed, rejected, unknown };
+
 struct JobStatus {
     Final final = Final::none;
     std::uint32_t done = 0;
@@ -132,6 +148,11 @@
     // Workers.
     ReportAnswer report(const Report& report, TimePoint now);
 
+    // Direct calls that are due now; each is settled by `called`.
+    std::vector<DirectCall> direct_calls(TimePoint now);
+    // `report` is the worker's answer, if there was one.
+    void called(const DirectCall& call, CallOutcome outcome, const Report* report, TimePoint now);
+
     // Placing, called once a cycle and when something frees up.
     void cycle(TimePoint now);
 
@@ -184,7 +205,8 @@
     void lose(Machine& machine, TimePoint now);
     void note_image(Machine& machine, const Job& job);
     void note_run(Job& job, Seconds ran);
-    void start_ready(Machine& machine, TimePoint now, std::vector<Order>& orders);
+    void start_ready(Machine& machine, TimePoint now, bool direct, std::vector<Order>& orders);
+    void observe(Machine& machine, const Report& report, TimePoint now);
     Resources used(const Machine& machine) const;
     bool usable(const Machine& machine, TimePoint now) const;
     bool allowed(const JobSpec& spec, const Machine& machine) const;
--- a/src/core/job.hpp
+++ b/src/core/job.hpp
@@ -43,6 +43,9 @@
     TaskState state = TaskState::fetching;
     std::uint64_t ordered_session = 0;
     std::uint64_t ordered_seq = 0;
+    // The start went out in a direct call and its outcome is not known: the call may still be on
+    // its way, so the task's absence from a report proves nothing.
+    bool in_flight = false;
     TimePoint since{};        // of the stage
     TimePoint running_from{};  // when it was first seen running
     bool stopping = false;
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -396,7 +396,9 @@
     return to_cbor(m);
 }
 
-std::string orders_body(std::uint64_t token, const std::vector<core::Order>& orders) {
+namespace {
+
+Value orders_value(const std::vector<core::Order>& orders) {
     Value out = Value::array();
     for (const auto& o : orders) {
         Value m{{"verb", name_of(verb_names, o.verb)},
@@ -405,7 +407,18 @@
         if (o.verb == core::Order::Verb::stop) m["wind_down_s"] = o.grace.count();
         out.push_back(std::move(m));
     }
-    return to_cbor(Value{{"baton", token}, {"orders", std::move(out)}});
+    return out;
+}
+
+}  // namespace
+
+std::string orders_body(std::uint64_t token, const std::vector<core::Order>& orders) {
+    return to_cbor(Value{{"baton", token}, {"orders", orders_value(orders)}});
+}
+
+std::string direct_body(const core::DirectCall& call) {
+    return to_cbor(Value{
+        {"baton", call.token}, {"shift", call.session}, {"orders", orders_value(call.orders)}});
 }
 
 std::string redirect_body(const std::string& node) {
--- a/src/wire/codec.hpp
+++ b/src/wire/codec.hpp
@@ -55,6 +55,8 @@
 // Workers.
 std::optional<core::Report> parse_report(std::string_view body);
 std::string report_body(const core::Report& report);
+// `session` stands only in direct calls.
+std::string direct_body(const core::DirectCall& call);
 std::string orders_body(std::uint64_t token, const std::vector<core::Order>& orders);
 std::string redirect_body(const std::string& node);
 
--- a/src/wire/peer.hpp
+++ b/src/wire/peer.hpp
@@ -13,7 +13,7 @@
 constexpr std::size_t header_size = 8;
 constexpr std::size_t most_payload = 128 * 1024;
 
-enum class Op : std::uint8_t { submit = 1, status = 2, cancel = 3, report = 4 };
+enum class Op : std::uint8_t { submit = 1, status = 2, cancel = 3, report = 4, view = 5 };
 
 // Frame: u8 version, u8 kind, u16 zero, u32 payload length.
 struct Header {
@@ -26,7 +26,8 @@
     HeaderError error = HeaderError::none;
 };
 
-// A user's or worker's request handed on to the controller that acts.
+// A user's or worker's request handed on to the controller that acts, or (view) the word of that
+// controller, named by the id, that it acts under this epoch.
 // u64 sender's epoch, u16 id length, id, u32 body length, body.
 struct Request {
     Op op = Op::status;
--- a/tests/standin/world.cpp
+++ b/tests/standin/world.cpp
@@ -48,7 +48,7 @@
 
 void World::take_over() {
     controller_ = std::make_unique<core::Controller>(config_, ++epoch_);
-    controller_->set_types(types_);
+    if (catalog_) controller_->set_types(types_);
     for (const auto& [name, record] : records_)
         controller_->load_machine(record.first, record.second, at());
     for (const auto& [id, record] : jobs_) controller_->load_job(record.first, record.second, at());
@@ -341,6 +341,9 @@
         config_.teams.push_back(team);
     } else if (verb == "controller" || verb == "takeover") {
         take_over();
+    } else if (verb == "catalog") {
+        catalog_ = words.at(1) == "up";
+        if (catalog_ && controller_) controller_->set_types(types_);
     } else if (verb == "crash") {
         controller_.reset();
     } else if (verb == "machine") {
--- a/tests/standin/world.hpp
+++ b/tests/standin/world.hpp
@@ -61,6 +61,7 @@
     std::vector<std::string> start_order_;
     std::map<std::string, std::map<std::uint32_t, bool>> completed_;
     bool cloud_up_ = true;
+    bool catalog_ = true;
     bool auto_rent_ = false;
     int rented_ = 0;
     int capacity_ = 1000;
