--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -371,7 +371,7 @@
     machine.confirmed = true;
     // What it would order goes out with the next report; nothing here depends on its arrival.
     std::vector<Order> later_orders;
-    reconcile(machine, *answer, now, later_orders);
+    reconcile(machine, *answer, Source::direct_answer, now, later_orders);
 }
 
 ReportAnswer Controller::report(const Report& report, TimePoint now) {
@@ -391,7 +391,7 @@
     if (report.token < epoch_) return answer;
     if (!machine.confirmed) machine.idle_since = now;
     machine.confirmed = true;
-    reconcile(machine, report, now, answer.orders);
+    reconcile(machine, report, Source::report, now, answer.orders);
     if (machine.taken_at) stop_for_drain(machine, now);
     for (const auto& [serial, index] : machine.held) {
         auto& placement = jobs_.at(serial)->placed.at(index);
@@ -410,7 +410,7 @@
     return answer;
 }
 
-void Controller::reconcile(Machine& machine, const Report& report, TimePoint now,
+void Controller::reconcile(Machine& machine, const Report& report, Source source, TimePoint now,
                            std::vector<Order>& orders) {
     machine.tasks = report.tasks;
     std::set<std::pair<std::uint64_t, std::uint32_t>> seen;
@@ -500,6 +500,10 @@
             continue;
         }
         if (placement.stage == Placement::Stage::ordered) {
+            // Guard against ran_twice: the answer to a direct call may overtake the answer to a
+            // report, and the start that the latter carries is still to come.
+            if (source == Source::direct_answer && report.session == placement.ordered_session)
+                continue;
             // The worker sent this report after it took or gave up the answer with the start, so
             // the start has not happened and never will.
             ++counts_.refused_starts;
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -197,7 +197,9 @@
     Job& add_job(std::unique_ptr<Job> job);
     void forget_job(Job& job);
     Machine& machine_for(const Report& report, TimePoint now);
-    void reconcile(Machine& machine, const Report& report, TimePoint now,
+    // How a task list came: as a report, or as the answer to a direct call between two reports.
+    enum class Source : std::uint8_t { report, direct_answer };
+    void reconcile(Machine& machine, const Report& report, Source source, TimePoint now,
                    std::vector<Order>& orders);
     void task_exited(Machine& machine, Job& job, const ReportedTask& task, TimePoint now);
     void gang_broken(Job& job, std::uint64_t attempt, TimePoint now);
--- a/src/core/renting.cpp
+++ b/src/core/renting.cpp
@@ -47,6 +47,8 @@
 
 // Machines are kept ready beyond mean demand only for classes that cannot wait for a boot.
 double Controller::headroom_for(const ClassStats& stats) const {
+    // One job tells nothing of how its class spreads.
+    if (stats.arrivals == 1) return 0;
     const auto& spec = stats.typical;
     constexpr double slow_boot = 1.3;
     constexpr double patient_share = 0.5;
--- a/tests/standin/world.cpp
+++ b/tests/standin/world.cpp
@@ -104,13 +104,39 @@
     if (!controller_) return;
     const auto answer = controller_->report(report, at());
     if (!answered || !answer.entitled) return;
+    if (worker.slow_answer) {
+        worker.slow_answer = false;
+        worker.next_report = now_ + 1.5;
+        late_answers_.push_back({now_ + 1, worker.name, report.session, answer});
+        return;
+    }
     if (answer.token < worker.token) return;
     if (report.session != worker.session) return;
     // A token that rises is a change, and changes are reported soon.
     if (answer.token > worker.token) worker.next_report = now_ + 0.5;
     worker.token = answer.token;
     worker.last_answered = now_;
-    for (const auto& order : answer.orders) {
+    obey(worker, answer.orders);
+}
+
+// A direct call arrives. The worker drops it under a lower token or another session.
+void World::call(const core::DirectCall& call, bool answered) {
+    const auto it = workers_.find(call.machine);
+    if (it == workers_.end()) return;
+    auto& worker = it->second;
+    auto outcome = core::CallOutcome::rejected;
+    if (call.token >= worker.token && call.session == worker.session) {
+        worker.token = call.token;
+        obey(worker, call.orders);
+        outcome = core::CallOutcome::executed;
+    }
+    if (!answered || !controller_ || controller_->epoch() != call.token) return;
+    const auto report = worker.report();
+    controller_->called(call, outcome, &report, at());
+}
+
+void World::obey(Worker& worker, const std::vector<core::Order>& orders) {
+    for (const auto& order : orders) {
         const bool known = specs_.contains(order.job);
         const double run = known ? run_time_[order.job] : 1;
         const double save = known && specs_[order.job].checkpoint > Seconds{0}
@@ -229,9 +255,36 @@
         const auto report = worker.report();
         if (worker.reachable) deliver(worker, report, true);
     }
+    for (auto it = late_answers_.begin(); it != late_answers_.end();) {
+        if (it->at > now_) {
+            ++it;
+            continue;
+        }
+        const auto worker = workers_.find(it->worker);
+        if (worker != workers_.end() && it->session == worker->second.session &&
+            it->answer.token >= worker->second.token) {
+            worker->second.token = it->answer.token;
+            worker->second.last_answered = now_;
+            obey(worker->second, it->answer.orders);
+        }
+        it = late_answers_.erase(it);
+    }
     write_records();
     if (controller_) {
         controller_->cycle(at());
+        if (direct_) {
+            for (const auto& due : controller_->direct_calls(at())) {
+                const auto worker = workers_.find(due.machine);
+                const bool reaches = worker != workers_.end() && worker->second.reachable &&
+                                     !worker->second.hung && !worker->second.dead;
+                if (reaches && !worker->second.calls_held) {
+                    call(due, true);
+                    continue;
+                }
+                held_calls_.push_back(due);
+                controller_->called(due, core::CallOutcome::unknown, nullptr, at());
+            }
+        }
         auto plan = controller_->plan_renting(at());
         if (cloud_up_) {
             for (const auto& name : plan.release) {
@@ -341,6 +394,16 @@
         config_.teams.push_back(team);
     } else if (verb == "controller" || verb == "takeover") {
         take_over();
+    } else if (verb == "direct") {
+        direct_ = words.at(1) == "yes";
+    } else if (verb == "slow-answer") {
+        workers_.at(words.at(1)).slow_answer = true;
+    } else if (verb == "hold-calls") {
+        workers_.at(words.at(1)).calls_held = true;
+    } else if (verb == "deliver-calls") {
+        for (const auto& held : held_calls_) call(held, false);
+        held_calls_.clear();
+        for (auto& [name, worker] : workers_) worker.calls_held = false;
     } else if (verb == "catalog") {
         catalog_ = words.at(1) == "up";
         if (catalog_ && controller_) controller_->set_types(types_);
@@ -428,6 +491,8 @@
         boot_ = number(words, "boot", 5);
     } else if (verb == "start-within") {
         config_.objectives.start_within[words.at(1)] = Seconds(std::stod(words.at(2)));
+    } else if (verb == "headroom") {
+        config_.headroom = std::stod(words.at(1));
     } else if (verb == "keep-idle") {
         config_.idle_return = Seconds(std::stod(words.at(1)));
     } else if (verb == "expect") {
--- a/tests/standin/world.hpp
+++ b/tests/standin/world.hpp
@@ -31,6 +31,8 @@
     double number(const Words& words, const std::string& name, double other) const;
     void step();
     void deliver(Worker& worker, const core::Report& report, bool answered);
+    void obey(Worker& worker, const std::vector<core::Order>& orders);
+    void call(const core::DirectCall& call, bool answered);
     void advance(Worker& worker, double dt);
     void write_records();
     void take_over();
@@ -58,10 +60,19 @@
     std::map<std::string, double> cancelled_at_;
     std::map<std::string, core::Final> told_;
     std::vector<Held> held_reports_;
+    struct Late {
+        double at;
+        std::string worker;
+        std::uint64_t session;
+        core::ReportAnswer answer;
+    };
+    std::vector<Late> late_answers_;
+    std::vector<core::DirectCall> held_calls_;
     std::vector<std::string> start_order_;
     std::map<std::string, std::map<std::uint32_t, bool>> completed_;
     bool cloud_up_ = true;
     bool catalog_ = true;
+    bool direct_ = false;
     bool auto_rent_ = false;
     int rented_ = 0;
     int capacity_ = 1000;
