--- a/tests/standin/worker.hpp
+++ b/tests/standin/worker.hpp
@@ -42,7 +42,7 @@
     bool hung = false;
     bool dead = false;
     bool faulty = false;
-    bool slow_answer = false;  // the answer to its next report takes a second
+    bool slow_answer = false;  // the answer to its next report takes three seconds
     bool calls_held = false;   // direct calls to it hang, and arrive late
 
     core::Report report() {
--- a/tests/standin/world.cpp
+++ b/tests/standin/world.cpp
@@ -106,8 +106,8 @@
     if (!answered || !answer.entitled) return;
     if (worker.slow_answer) {
         worker.slow_answer = false;
-        worker.next_report = now_ + 1.5;
-        late_answers_.push_back({now_ + 1, worker.name, report.session, answer});
+        worker.next_report = now_ + 3.5;
+        late_answers_.push_back({now_ + 3, worker.name, report.session, answer});
         return;
     }
     if (answer.token < worker.token) return;
