--- a/tests/standin/world.cpp
+++ b/tests/standin/world.cpp
@@ -360,6 +360,8 @@
              (words.at(3) == "none" && final == core::Final::none));
     } else if (what == "machines") {
         must(workers_.size() + booting_.size() == std::stoul(words.at(2)));
+    } else if (what == "known") {
+        must(controller_->machines().contains(words.at(2)) == (words.at(3) == "yes"));
     } else if (what == "released") {
         must(released_.contains(words.at(2)) == (words.at(3) == "yes"));
     } else if (what == "verdict") {
@@ -396,6 +398,8 @@
         take_over();
     } else if (verb == "direct") {
         direct_ = words.at(1) == "yes";
+    } else if (verb == "mend") {
+        workers_.at(words.at(1)).faulty = false;
     } else if (verb == "slow-answer") {
         workers_.at(words.at(1)).slow_answer = true;
     } else if (verb == "hold-calls") {
