--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -76,6 +76,7 @@
     struct Redirect {
         Clock::time_point first{};
         Clock::time_point last{};
+        bool sent = false;
     };
     std::mutex redirects_mutex_;
     std::unordered_map<std::string, Redirect> redirects_;
