--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -291,22 +291,17 @@
     if (standing.steward.empty() || report.token > standing.epoch)
         return {503, 0, wire::error_body("no view")};
     const auto now = Clock::now();
-    bool send_there = false;
+    bool back = false;
     {
         const std::lock_guard lock(redirects_mutex_);
         if (redirects_.size() > most_redirects) redirects_.clear();
         auto& redirect = redirects_[report.machine];
-        if (now - redirect.last > redirect_memory) redirect = {now, {}, false};
-        if (now - redirect.first > redirect_again) redirect = {now, {}, false};
-        // The first report from a worker is handed on, the second sends it there, and if it comes
-        // back its reports are handed on for a while. Guard: sent away at once from each
-        // controller in turn, workers lost their leases when only they could not reach the acting
-        // one.
-        send_there = redirect.last != Clock::time_point{} && !redirect.sent;
-        redirect.sent = redirect.sent || send_there;
+        back = now - redirect.last < redirect_memory && now - redirect.first < redirect_again;
+        if (!back) redirect.first = now;
         redirect.last = now;
     }
-    if (send_there) return {421, 0, wire::redirect_body(standing.steward)};
+    if (!back) return {421, 0, wire::redirect_body(standing.steward)};
+    // The worker cannot reach the acting controller: its report is handed on.
     if (auto reply = hand_on(wire::peer::Op::report, report.machine, body);
         reply && reply->status == 200)
         return *reply;
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -76,7 +76,6 @@
     struct Redirect {
         Clock::time_point first{};
         Clock::time_point last{};
-        bool sent = false;
     };
     std::mutex redirects_mutex_;
     std::unordered_map<std::string, Redirect> redirects_;
