--- a/tests/standin/worker.hpp
+++ b/tests/standin/worker.hpp
@@ -43,6 +43,7 @@
     bool dead = false;
     bool faulty = false;
     bool slow_answer = false;  // the answer to its next report takes three seconds
+    double waits_until = 0;    // one report is in flight at a time
     bool calls_held = false;   // direct calls to it hang, and arrive late
 
     core::Report report() {
--- a/tests/standin/world.cpp
+++ b/tests/standin/world.cpp
@@ -106,7 +106,7 @@
     if (!answered || !answer.entitled) return;
     if (worker.slow_answer) {
         worker.slow_answer = false;
-        worker.next_report = now_ + 3.5;
+        worker.waits_until = now_ + 3.25;
         late_answers_.push_back({now_ + 3, worker.name, report.session, answer});
         return;
     }
@@ -250,7 +250,7 @@
         if (worker.dead) continue;
         if (worker.notice) *worker.notice = std::max(0.0, *worker.notice - dt_);
         advance(worker, dt_);
-        if (worker.hung || now_ < worker.next_report) continue;
+        if (worker.hung || now_ < worker.next_report || now_ < worker.waits_until) continue;
         worker.next_report = now_ + config_.workers.report.count();
         const auto report = worker.report();
         if (worker.reachable) deliver(worker, report, true);
