--- /dev/null
+++ b/src/app/main.cpp
@@ -0,0 +1,101 @@
+#include <malloc.h>
+#include <pthread.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+#include "app/client.hpp"
+#include "app/service.hpp"
+#include "app/settings.hpp"
+
+namespace {
+
+using namespace bendspindle;
+
+constexpr int bad_settings = 2;
+
+void set_up_logging(const app::OperatorSettings& own) {
+    spdlog::set_default_logger(spdlog::stderr_logger_mt("bendspindle"));
+    spdlog::set_pattern("%H:%M:%S.%e %l %v");
+    std::string level = own.log_level;
+    if (const char* wanted = std::getenv("LOG_LEVEL"); wanted && *wanted) level = wanted;
+    spdlog::set_level(level == "error"   ? spdlog::level::err
+                      : level == "debug" ? spdlog::level::debug
+                                         : spdlog::level::info);
+    spdlog::flush_on(spdlog::level::trace);
+}
+
+// Many threads in little memory: small stacks, and few arenas for the allocator.
+void fit_small_machines(const app::OperatorSettings& own) {
+    ::mallopt(M_ARENA_MAX, 2);
+    pthread_attr_t attributes;
+    ::pthread_attr_init(&attributes);
+    ::pthread_attr_setstacksize(&attributes, own.stack_kb * 1024);
+    ::pthread_setattr_default_np(&attributes);
+    ::pthread_attr_destroy(&attributes);
+}
+
+int serve(const std::string& config, const std::string& operator_file) {
+    auto settings = app::load_settings(config);
+    auto own = app::load_operator_settings(operator_file);
+    fit_small_machines(own);
+    set_up_logging(own);
+    app::Service service(std::move(settings), std::move(own));
+    return service.run() ? 0 : 1;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    std::signal(SIGPIPE, SIG_IGN);
+    CLI::App cli{"bendspindle, a cluster scheduler"};
+    cli.set_version_flag("--version", BENDSPINDLE_VERSION);
+    cli.require_subcommand(1);
+    std::string config;
+    std::string operator_file;
+    std::string endpoint;
+    std::string argument;
+
+    auto* serve_verb = cli.add_subcommand("serve", "run a controller");
+    auto* check_verb = cli.add_subcommand("check", "check settings and end");
+    for (auto* verb : {serve_verb, check_verb}) {
+        verb->add_option("--config", config, "the platform's settings (JSON)")->required();
+        verb->add_option("--operator", operator_file, "the operators' settings (S-expressions)");
+    }
+    auto* submit_verb = cli.add_subcommand("submit", "submit the job described in a JSON file");
+    auto* status_verb = cli.add_subcommand("status", "show the state of a job");
+    auto* cancel_verb = cli.add_subcommand("cancel", "cancel a job");
+    for (auto* verb : {submit_verb, status_verb, cancel_verb}) {
+        verb->add_option("--to", endpoint, "a controller, HOST:PORT")->required();
+        verb->add_option(verb == submit_verb ? "file" : "id", argument)->required();
+    }
+
+    try {
+        cli.parse(argc, argv);
+    } catch (const CLI::ParseError& e) {
+        const int code = cli.exit(e);
+        return code == 0 ? 0 : bad_settings;
+    }
+    try {
+        if (*serve_verb) return serve(config, operator_file);
+        if (*check_verb) {
+            app::load_settings(config);
+            app::load_operator_settings(operator_file);
+            std::cout << "settings are good\n";
+            return 0;
+        }
+        if (*submit_verb) return app::submit_file(endpoint, argument);
+        if (*status_verb) return app::show_status(endpoint, argument);
+        return app::cancel_job(endpoint, argument);
+    } catch (const app::SettingsError& e) {
+        std::cerr << "bendspindle: " << e.what() << "\n";
+        return bad_settings;
+    } catch (const std::exception& e) {
+        std::cerr << "bendspindle: " << e.what() << "\n";
+        return 1;
+    }
+}
--- /dev/null
+++ b/src/app/office.hpp
@@ -0,0 +1,64 @@
+// What the threads of an acting controller share, behind one short lock. No lock is held across a
+// call out: threads take what they need, unlock, call, and come back with the outcome.
+#pragma once
+
+#include <condition_variable>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "core/controller.hpp"
+
+namespace bendspindle::app {
+
+// Final states never change, so they may be kept and told by anyone. Bounded.
+class FinalCache {
+  public:
+    explicit FinalCache(std::size_t most) : most_(most) {}
+    void put(const std::string& id, core::Final final) {
+        const std::lock_guard lock(mutex_);
+        if (!known_.try_emplace(id, final).second) return;
+        order_.push_back(id);
+        if (order_.size() <= most_) return;
+        known_.erase(order_.front());
+        order_.pop_front();
+    }
+    std::optional<core::Final> get(const std::string& id) const {
+        const std::lock_guard lock(mutex_);
+        const auto it = known_.find(id);
+        if (it == known_.end()) return std::nullopt;
+        return it->second;
+    }
+
+  private:
+    mutable std::mutex mutex_;
+    std::size_t most_;
+    std::unordered_map<std::string, core::Final> known_;
+    std::deque<std::string> order_;
+};
+
+struct Office {
+    std::mutex mutex;
+    std::condition_variable recorded;       // something became durable, or never will
+    std::condition_variable write_wanted;   // for the recorder
+    std::condition_variable place_wanted;   // for the placing thread
+    // Null when another controller acts, or while the records are being loaded.
+    std::unique_ptr<core::Controller> controller;
+    std::uint64_t steward_stamp = 0;
+    bool write_pending = false;
+    bool place_pending = false;
+
+    void want_write() {
+        write_pending = true;
+        write_wanted.notify_one();
+    }
+    void want_place() {
+        place_pending = true;
+        place_wanted.notify_one();
+    }
+};
+
+}  // namespace bendspindle::app
--- /dev/null
+++ b/src/app/recorder.hpp
@@ -0,0 +1,41 @@
+// The one writer of records: gathers what several requests need into one transaction.
+#pragma once
+
+#include "app/membership.hpp"
+#include "app/office.hpp"
+#include "app/settings.hpp"
+#include "app/state_store.hpp"
+
+namespace bendspindle::app {
+
+namespace keys {
+inline std::string job(const std::string& id) { return "job/" + id; }
+inline std::string over(const std::string& id) { return "over/" + id; }
+inline std::string machine(const std::string& name) { return "machine/" + name; }
+inline constexpr const char* steward = "steward";
+}  // namespace keys
+
+class Recorder {
+  public:
+    Recorder(Office& office, StateStore& store, FinalCache& finals, StateLimits limits);
+    // Runs until the process ends.
+    void run();
+
+  private:
+    struct Batch {
+        std::uint64_t epoch = 0;
+        std::vector<core::Change> changes;
+        std::vector<wire::Condition> conditions;
+        std::vector<wire::Operation> operations;
+    };
+    Batch gather();
+    void settle(const Batch& batch, const Txn& txn);
+    void read_back(const Batch& batch, const Txn& txn);
+
+    Office& office_;
+    StateStore& store_;
+    FinalCache& finals_;
+    StateLimits limits_;
+};
+
+}  // namespace bendspindle::app
--- /dev/null
+++ b/src/app/service.cpp
@@ -0,0 +1,413 @@
+#include "app/service.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <thread>
+
+#include "io/http_server.hpp"
+
+namespace bendspindle::app {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr const char* cbor = "application/cbor";
+constexpr milliseconds peer_limit{1500};
+constexpr milliseconds record_limit{2500};  // users give up after 5 s
+constexpr seconds health_memory{6};
+constexpr milliseconds least_between_cycles{250};
+constexpr milliseconds load_retry{300};
+// A worker back within this time has not reached the controller it was sent to.
+constexpr seconds redirect_memory{15};
+// After this long its reports are no longer handed on; it is sent there again.
+constexpr seconds redirect_again{40};
+constexpr std::size_t most_redirects = 2000;
+
+Reply busy(const std::string& why, int retry_after = 1) {
+    return {503, retry_after, wire::error_body(why)};
+}
+
+core::JobStatus final_status(core::Final final) { return core::JobStatus{final, 0, 0}; }
+
+}  // namespace
+
+Service::Service(Settings settings, OperatorSettings own)
+    : settings_(std::move(settings)),
+      own_(std::move(own)),
+      store_(settings_.state),
+      finals_(own_.finals_cached),
+      membership_(store_, settings_.name, own_.lease,
+                  {[this](std::uint64_t epoch, std::uint64_t stamp) { take_over(epoch, stamp); },
+                   [this] { stand_down(); }}),
+      recorder_(office_, store_, finals_, settings_.state_limits),
+      cloud_(office_, settings_) {
+    for (const auto& sibling : settings_.siblings)
+        siblings_[sibling.name] = std::make_unique<io::PeerClient>(sibling.endpoint, peer_limit);
+}
+
+void Service::take_over(std::uint64_t epoch, std::uint64_t steward_stamp) {
+    auto controller = std::make_unique<core::Controller>(core_config(settings_, own_), epoch);
+    // Loading runs beside the renewal of the lease, which this thread must not hold up.
+    std::thread([this, epoch, steward_stamp, controller = std::move(controller)]() mutable {
+        for (;;) {
+            const auto now = membership_.standing();
+            if (!now.acting || now.epoch != epoch) return;
+            controller = std::make_unique<core::Controller>(core_config(settings_, own_), epoch);
+            if (load(*controller)) break;
+            std::this_thread::sleep_for(load_retry);
+        }
+        const std::lock_guard lock(office_.mutex);
+        const auto now = membership_.standing();
+        if (!now.acting || now.epoch != epoch) return;
+        spdlog::info("took over {} open jobs and {} machines", controller->jobs().size(),
+                     controller->machines().size());
+        office_.controller = std::move(controller);
+        office_.steward_stamp = steward_stamp;
+        office_.want_place();
+        office_.want_write();
+    }).detach();
+}
+
+bool Service::load(core::Controller& controller) {
+    controller.set_types(cloud_.types());
+    const auto machines = store_.list("machine/");
+    if (machines.outcome != Outcome::ok) return false;
+    const auto now = Clock::now();
+    for (const auto& entry : machines.entries) {
+        const auto name = entry.key.substr(std::string("machine/").size());
+        const auto machine = wire::parse_machine_record(name, entry.value);
+        if (!machine) {
+            spdlog::error("record {} cannot be read", entry.key);
+            return false;
+        }
+        controller.load_machine(*machine, entry.stamp, now);
+    }
+    const auto jobs = store_.list("job/");
+    if (jobs.outcome != Outcome::ok) return false;
+    std::vector<std::pair<core::JobRecord, std::uint64_t>> records;
+    for (const auto& entry : jobs.entries) {
+        auto record = wire::parse_job_record(entry.value);
+        if (!record) {
+            spdlog::error("record {} cannot be read", entry.key);
+            return false;
+        }
+        records.emplace_back(std::move(*record), entry.stamp);
+    }
+    std::sort(records.begin(), records.end(), [](const auto& a, const auto& b) {
+        return a.first.submitted < b.first.submitted;
+    });
+    for (const auto& [record, stamp] : records) controller.load_job(record, stamp, Clock::now());
+    return true;
+}
+
+void Service::stand_down() {
+    const std::lock_guard lock(office_.mutex);
+    office_.controller.reset();
+    office_.recorded.notify_all();
+}
+
+template <typename Ready>
+bool Service::wait_recorded(std::unique_lock<std::mutex>& lock, Ready ready) {
+    office_.want_write();
+    return office_.recorded.wait_for(lock, record_limit, ready);
+}
+
+std::optional<Reply> Service::hand_on(wire::peer::Op op, const std::string& id,
+                                      const std::string& body) {
+    const auto standing = membership_.standing();
+    const auto it = siblings_.find(standing.steward);
+    if (it == siblings_.end()) return std::nullopt;
+    const auto answer = it->second->call({op, standing.epoch, id, body});
+    if (!answer) return std::nullopt;
+    last_sibling_answer_ = Clock::now();
+    if (answer->epoch > standing.epoch) membership_.suspect(answer->epoch);
+    return Reply{answer->status, answer->retry_after, answer->body};
+}
+
+std::optional<Reply> Service::from_final(const std::string& id, bool with_counts) {
+    const auto final = finals_.get(id);
+    if (!final) return std::nullopt;
+    return Reply{200, 0, wire::status_body(id, final_status(*final), with_counts)};
+}
+
+// The records have the last word. The open record is read first: a job that ends between the two
+// reads is then found by the second.
+Reply Service::from_records(const std::string& id, bool with_counts) {
+    const auto open = store_.get(keys::job(id));
+    if (open.outcome == Outcome::ok) {
+        const auto record = wire::parse_job_record(open.entry.value);
+        if (!record) return busy("the record cannot be read");
+        core::JobStatus status;
+        for (const auto& [first, last] : record->done) status.done += last - first + 1;
+        return {200, 0, wire::status_body(id, status, with_counts)};
+    }
+    if (open.outcome != Outcome::absent) return busy("the state service does not answer");
+    const auto over = store_.get(keys::over(id));
+    if (over.outcome == Outcome::ok) {
+        const auto final = wire::parse_final(over.entry.value);
+        if (!final) return busy("the record cannot be read");
+        finals_.put(id, *final);
+        return {200, 0, wire::status_body(id, final_status(*final), with_counts)};
+    }
+    if (over.outcome != Outcome::absent) return busy("the state service does not answer");
+    return {404, 0, wire::error_body("no such job")};
+}
+
+Reply Service::submit(const std::string& body, From from) {
+    const auto parsed = wire::parse_job(body);
+    if (!parsed.job) return {400, 0, wire::error_body(parsed.error)};
+    const auto& id = parsed.job->id;
+    if (auto reply = from_final(id, false)) return *reply;
+    if (!membership_.standing().acting) {
+        if (from == From::sibling) return busy("another controller acts");
+        if (auto reply = hand_on(wire::peer::Op::submit, id, body)) return *reply;
+        return busy("no controller acts");
+    }
+    if (!membership_.lease_valid()) return busy("the state service does not answer", 2);
+
+    std::unique_lock lock(office_.mutex);
+    if (!office_.controller) return busy("taking over");
+    const auto verdict = office_.controller->check(*parsed.job);
+    if (verdict == core::Verdict::not_ready) return busy("machine types are not known yet");
+    if (verdict == core::Verdict::never_fits && !office_.controller->knows(id)) {
+        lock.unlock();
+        // It may have been accepted before teams or types changed; accepted stays accepted.
+        auto reply = from_records(id, false);
+        if (reply.status == 404) return {422, 0, wire::error_body("the job can never run")};
+        return reply;
+    }
+    const bool fresh = office_.controller->accept(
+        *parsed.job, std::chrono::system_clock::now(), Clock::now());
+    wait_recorded(lock, [&] {
+        return !office_.controller || !office_.controller->knows(id) ||
+               office_.controller->durable(id);
+    });
+    if (office_.controller)
+        if (const auto status = office_.controller->status(id))
+            return {fresh ? 201 : 200, 0, wire::status_body(id, *status, false)};
+    lock.unlock();
+    // Over already, or the write has not come through: the cache or the user's retry tells.
+    if (auto reply = from_final(id, false)) return *reply;
+    return busy("the job could not be recorded in time");
+}
+
+Reply Service::status(const std::string& id, From from) {
+    if (!wire::valid_job_id(id)) return {404, 0, wire::error_body("no such job")};
+    if (auto reply = from_final(id, true)) return *reply;
+    if (!membership_.standing().acting) {
+        if (from == From::sibling) return busy("another controller acts");
+        if (auto reply = hand_on(wire::peer::Op::status, id, {}); reply && reply->status != 503)
+            return *reply;
+        return from_records(id, true);
+    }
+    // Without the lease another controller may have told a newer state already.
+    if (membership_.lease_valid()) {
+        const std::lock_guard lock(office_.mutex);
+        if (office_.controller) {
+            if (const auto status = office_.controller->status(id))
+                return {200, 0, wire::status_body(id, *status, true)};
+            if (office_.controller->knows(id)) return busy("the job is being recorded");
+        }
+    }
+    return from_records(id, true);
+}
+
+Reply Service::cancel(const std::string& id, From from) {
+    if (!wire::valid_job_id(id)) return {404, 0, wire::error_body("no such job")};
+    if (auto reply = from_final(id, false)) return *reply;
+    if (!membership_.standing().acting) {
+        if (from == From::sibling) return busy("another controller acts");
+        if (auto reply = hand_on(wire::peer::Op::cancel, id, {})) return *reply;
+        return busy("no controller acts");
+    }
+    if (!membership_.lease_valid()) return busy("the state service does not answer", 2);
+    std::unique_lock lock(office_.mutex);
+    if (!office_.controller) return busy("taking over");
+    if (!office_.controller->knows(id)) {
+        lock.unlock();
+        auto reply = from_records(id, false);
+        // An open record that is not in memory cannot be: it is asked for again.
+        if (reply.status == 200 && !finals_.get(id)) return busy("the job is not loaded");
+        return reply;
+    }
+    office_.controller->cancel(id, Clock::now());
+    wait_recorded(lock, [&] {
+        if (!office_.controller) return true;
+        const auto status = office_.controller->status(id);
+        return !office_.controller->knows(id) ||
+               (status && status->final != core::Final::none);
+    });
+    lock.unlock();
+    if (auto reply = from_final(id, false)) return *reply;
+    return busy("the cancellation could not be recorded in time");
+}
+
+Reply Service::report(const std::string& body, From from) {
+    const auto report = wire::parse_report(body);
+    if (!report) return {400, 0, wire::error_body("malformed report")};
+    const auto standing = membership_.standing();
+    if (!standing.acting) {
+        if (from == From::sibling) return busy("another controller acts");
+        return report_elsewhere(*report, body, standing);
+    }
+    // Guard: a worker that knows a newer token would drop the answer and stay with this node
+    // until its lease is gone.
+    if (report->token > standing.epoch) {
+        membership_.suspect(report->token);
+        return busy("another controller acts");
+    }
+    const std::lock_guard lock(office_.mutex);
+    // While records are loaded the lease of the worker lives on, and its token rises.
+    if (!office_.controller) return {200, 0, wire::orders_body(standing.epoch, {})};
+    const auto before = office_.controller->counts();
+    const auto answer = office_.controller->report(*report, Clock::now());
+    if (!answer.entitled) return busy("another controller acts");
+    const auto& after = office_.controller->counts();
+    if (after.lost != before.lost || after.errors != before.errors)
+        spdlog::debug("{}: lost {}, errors {}", report->machine, after.lost - before.lost,
+                      after.errors - before.errors);
+    for (const auto& order : answer.orders)
+        spdlog::debug("{}: {} {}/{} try {}", report->machine,
+                      order.verb == core::Order::Verb::start  ? "start"
+                      : order.verb == core::Order::Verb::stop ? "stop"
+                                                              : "forget",
+                      order.job, order.index, order.attempt);
+    office_.want_write();
+    const bool changed = std::any_of(report->tasks.begin(), report->tasks.end(), [](const auto& t) {
+        return t.state == core::TaskState::exited;
+    });
+    if (changed) office_.want_place();
+    return {200, 0, wire::orders_body(answer.token, answer.orders)};
+}
+
+Reply Service::report_elsewhere(const core::Report& report, const std::string& body,
+                                const Standing& standing) {
+    if (report.token > standing.epoch) membership_.suspect(report.token);
+    if (standing.steward.empty() || report.token > standing.epoch)
+        return {503, 0, wire::error_body("no view")};
+    const auto now = Clock::now();
+    bool back = false;
+    {
+        const std::lock_guard lock(redirects_mutex_);
+        if (redirects_.size() > most_redirects) redirects_.clear();
+        auto& redirect = redirects_[report.machine];
+        back = now - redirect.last < redirect_memory && now - redirect.first < redirect_again;
+        if (!back) redirect.first = now;
+        redirect.last = now;
+    }
+    if (!back) return {421, 0, wire::redirect_body(standing.steward)};
+    // The worker cannot reach the acting controller: its report is handed on.
+    if (auto reply = hand_on(wire::peer::Op::report, report.machine, body);
+        reply && reply->status == 200)
+        return *reply;
+    // Nor can this controller. The token is still the last one known, so the worker may go on;
+    // whoever acts next confirms it.
+    return {200, 0, wire::orders_body(standing.epoch, {})};
+}
+
+wire::peer::Answer Service::answer_sibling(const wire::peer::Request& request) {
+    last_sibling_answer_ = Clock::now();
+    Reply reply;
+    switch (request.op) {
+        case wire::peer::Op::submit:
+            reply = submit(request.body, From::sibling);
+            break;
+        case wire::peer::Op::status:
+            reply = status(request.id, From::sibling);
+            break;
+        case wire::peer::Op::cancel:
+            reply = cancel(request.id, From::sibling);
+            break;
+        case wire::peer::Op::report:
+            reply = report(request.body, From::sibling);
+            break;
+    }
+    return {static_cast<std::uint16_t>(reply.status),
+            static_cast<std::uint16_t>(reply.retry_after), membership_.standing().epoch,
+            std::move(reply.body)};
+}
+
+bool Service::healthy() const {
+    if (cloud_.types().empty()) return false;
+    const auto now = Clock::now();
+    return now - store_.last_ok() < health_memory ||
+           now - last_sibling_answer_.load() < health_memory;
+}
+
+void Service::place() {
+    auto next = Clock::now();
+    for (;;) {
+        std::unique_lock lock(office_.mutex);
+        office_.place_wanted.wait_for(lock, own_.cycle, [&] { return office_.place_pending; });
+        if (Clock::now() < next) {
+            lock.unlock();
+            std::this_thread::sleep_until(next);
+            lock.lock();
+        }
+        office_.place_pending = false;
+        if (office_.controller) office_.controller->cycle(Clock::now());
+        next = Clock::now() + least_between_cycles;
+    }
+}
+
+bool Service::run() {
+    io::HttpServerLimits limits;
+    limits.most_threads = std::min(own_.threads, settings_.most_sockets / 2);
+    io::HttpServer http(limits);
+    const auto send = [](const Reply& reply, httplib::Response& response) {
+        response.status = reply.status;
+        if (reply.retry_after > 0)
+            response.set_header("Retry-After", std::to_string(reply.retry_after));
+        response.set_content(reply.body, cbor);
+    };
+    http.Get(wire::path::health, [&](const httplib::Request&, httplib::Response& response) {
+        response.status = healthy() ? 200 : 503;
+    });
+    http.Post(wire::path::work, [&](const httplib::Request& request, httplib::Response& response) {
+        send(submit(request.body, From::outside), response);
+    });
+    http.Get(R"(/work/([^/]*))", [&](const httplib::Request& request, httplib::Response& response) {
+        send(status(request.matches[1], From::outside), response);
+    });
+    http.Post(R"(/work/([^/]*)/cancel)",
+              [&](const httplib::Request& request, httplib::Response& response) {
+                  send(cancel(request.matches[1], From::outside), response);
+              });
+    http.Post(wire::path::report,
+              [&](const httplib::Request& request, httplib::Response& response) {
+                  send(report(request.body, From::outside), response);
+              });
+    http.set_error_handler([](const httplib::Request& request, httplib::Response& response) {
+        if (!response.body.empty()) return;
+        // The protocol has one word for bodies that are too large or broken: malformed.
+        if (response.status == 413) response.status = 400;
+        const auto& path = request.path;
+        const bool known = path == wire::path::work || path == wire::path::report ||
+                           path == wire::path::health || path.starts_with("/work/");
+        if (response.status == 404 && known) response.status = 405;
+        response.set_content(wire::error_body("not served"), cbor);
+    });
+
+    io::PeerServer peers([this](const auto& request) { return answer_sibling(request); },
+                         [](const auto& what) { spdlog::info("{}", what); });
+    if (!http.bind(settings_.listen.host, settings_.listen.port)) {
+        spdlog::error("listen: the address cannot be bound");
+        return false;
+    }
+    if (!peers.bind(settings_.internal)) {
+        spdlog::error("internal_addr: the address cannot be bound");
+        return false;
+    }
+    std::thread([this] { cloud_.run(); }).detach();
+    std::thread([this] { membership_.run(); }).detach();
+    std::thread([this] { recorder_.run(); }).detach();
+    std::thread([this] { place(); }).detach();
+    std::thread([&peers] { peers.run(); }).detach();
+    spdlog::info("{} serves", settings_.name);
+    return http.listen_after_bind();
+}
+
+}  // namespace bendspindle::app
--- /dev/null
+++ b/src/app/service.hpp
@@ -0,0 +1,81 @@
+// One controller: routes what users and workers ask to whoever acts, and acts when it is its turn.
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "app/cloud_desk.hpp"
+#include "app/membership.hpp"
+#include "app/office.hpp"
+#include "app/recorder.hpp"
+#include "app/settings.hpp"
+#include "app/state_store.hpp"
+#include "io/peer_link.hpp"
+
+namespace bendspindle::app {
+
+struct Reply {
+    int status = 503;
+    int retry_after = 0;  // seconds; 0: none
+    std::string body;
+};
+
+class Service {
+  public:
+    Service(Settings settings, OperatorSettings own);
+    // Serves until the process ends. False: an address could not be bound.
+    bool run();
+
+  private:
+    using Clock = std::chrono::steady_clock;
+    enum class From : std::uint8_t { outside, sibling };
+
+    // Users.
+    Reply submit(const std::string& body, From from);
+    Reply status(const std::string& id, From from);
+    Reply cancel(const std::string& id, From from);
+    std::optional<Reply> hand_on(wire::peer::Op op, const std::string& id,
+                                 const std::string& body);
+    std::optional<Reply> from_final(const std::string& id, bool with_counts);
+    Reply from_records(const std::string& id, bool with_counts);
+    template <typename Ready>
+    bool wait_recorded(std::unique_lock<std::mutex>& lock, Ready ready);
+
+    // Workers.
+    Reply report(const std::string& body, From from);
+    Reply report_elsewhere(const core::Report& report, const std::string& body,
+                           const Standing& standing);
+
+    bool healthy() const;
+    wire::peer::Answer answer_sibling(const wire::peer::Request& request);
+
+    void take_over(std::uint64_t epoch, std::uint64_t steward_stamp);
+    bool load(core::Controller& controller);
+    void stand_down();
+    void place();
+
+    Settings settings_;
+    OperatorSettings own_;
+    StateStore store_;
+    Office office_;
+    FinalCache finals_;
+    Membership membership_;
+    Recorder recorder_;
+    CloudDesk cloud_;
+    std::map<std::string, std::unique_ptr<io::PeerClient>> siblings_;
+    std::atomic<Clock::time_point> last_sibling_answer_{Clock::time_point{}};
+    // Workers that came back although they had been sent to the acting controller.
+    struct Redirect {
+        Clock::time_point first{};
+        Clock::time_point last{};
+    };
+    std::mutex redirects_mutex_;
+    std::unordered_map<std::string, Redirect> redirects_;
+};
+
+}  // namespace bendspindle::app
--- /dev/null
+++ b/src/app/settings.cpp
@@ -0,0 +1,229 @@
+#include "app/settings.hpp"
+
+#include <sfsexp/sexp.h>
+
+#include <cmath>
+#include <cstring>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace bendspindle::app {
+
+namespace {
+
+using nlohmann::json;
+
+std::string read_file(const std::string& file) {
+    std::ifstream in(file, std::ios::binary);
+    if (!in) throw SettingsError(file + ": cannot be read");
+    std::ostringstream out;
+    out << in.rdbuf();
+    return out.str();
+}
+
+// Reads fields of one map and says where it stands when one is wrong.
+class Fields {
+  public:
+    Fields(std::string file, std::string where, const json& map)
+        : file_(std::move(file)), where_(std::move(where)), map_(map) {
+        if (!map_.is_object()) throw SettingsError(file_ + ": " + where_ + " is not a map");
+    }
+
+    Fields sub(const char* name) const { return Fields(file_, path(name), at(name)); }
+    std::vector<Fields> list(const char* name) const {
+        const auto& v = at(name);
+        if (!v.is_array()) wrong(name, "is not a list");
+        std::vector<Fields> out;
+        for (std::size_t i = 0; i < v.size(); ++i)
+            out.emplace_back(file_, path(name) + "[" + std::to_string(i) + "]", v[i]);
+        return out;
+    }
+    std::string text(const char* name) const {
+        const auto& v = at(name);
+        if (!v.is_string() || v.get_ref<const std::string&>().empty()) wrong(name, "is not text");
+        return v.get<std::string>();
+    }
+    std::vector<std::string> texts(const char* name) const {
+        const auto& v = at(name);
+        if (!v.is_array()) wrong(name, "is not a list");
+        std::vector<std::string> out;
+        for (const auto& e : v) {
+            if (!e.is_string()) wrong(name, "holds what is not text");
+            out.push_back(e.get<std::string>());
+        }
+        return out;
+    }
+    double number(const char* name) const {
+        const auto& v = at(name);
+        if (!v.is_number()) wrong(name, "is not a number");
+        const double d = v.get<double>();
+        if (!std::isfinite(d) || d < 0) wrong(name, "is out of range");
+        return d;
+    }
+    double positive(const char* name) const {
+        const double d = number(name);
+        if (d <= 0) wrong(name, "must be more than 0");
+        return d;
+    }
+    double number_or(const char* name, double other) const {
+        return map_.contains(name) ? number(name) : other;
+    }
+    core::Seconds seconds(const char* name) const { return core::Seconds(positive(name)); }
+    io::Endpoint endpoint(const char* name) const {
+        const auto parsed = io::parse_endpoint(text(name));
+        if (!parsed) wrong(name, "is not HOST:PORT");
+        return *parsed;
+    }
+
+  private:
+    std::string path(const char* name) const {
+        return where_.empty() ? std::string(name) : where_ + "." + name;
+    }
+    [[noreturn]] void wrong(const char* name, const char* what) const {
+        throw SettingsError(file_ + ": " + path(name) + " " + what);
+    }
+    const json& at(const char* name) const {
+        const auto it = map_.find(name);
+        if (it == map_.end()) wrong(name, "is missing");
+        return *it;
+    }
+
+    std::string file_;
+    std::string where_;
+    const json& map_;
+};
+
+}  // namespace
+
+Settings load_settings(const std::string& file) {
+    const auto text = read_file(file);
+    const auto document = json::parse(text, nullptr, false);
+    if (document.is_discarded()) throw SettingsError(file + ": is not JSON");
+    const Fields top(file, "", document);
+    Settings s;
+    s.name = top.text("node_name");
+    s.zone = top.text("domain");
+    s.listen = top.endpoint("listen");
+    s.internal = top.endpoint("internal_addr");
+    for (const auto& sibling : top.list("siblings"))
+        s.siblings.push_back({sibling.text("node_name"), sibling.text("domain"),
+                              sibling.endpoint("endpoint")});
+    const auto external = top.sub("external");
+    s.cloud = external.endpoint("cloud");
+    s.state = external.endpoint("state");
+    const auto deployment = top.sub("deployment");
+    s.zones = deployment.texts("zones");
+    if (s.zones.empty()) throw SettingsError(file + ": deployment.zones is empty");
+    for (const auto& team : deployment.list("teams")) {
+        core::Team t;
+        t.name = team.text("name");
+        t.guaranteed.cpus = team.number_or("cpus", 0);
+        t.guaranteed.gpus = team.number_or("gpus", 0);
+        t.limit.cpus = team.number_or("cpus_max", 0);
+        t.limit.gpus = team.number_or("gpus_max", 0);
+        s.teams.push_back(std::move(t));
+    }
+    const auto workers = deployment.sub("workers");
+    s.workers = {workers.seconds("report_s"), workers.seconds("lease_s"),
+                 workers.seconds("gang_wait_s"), workers.seconds("gang_peer_s"),
+                 workers.seconds("cancel_s")};
+    const auto state = deployment.sub("state");
+    s.state_limits = {state.positive("rps"), state.positive("write_rps"),
+                      static_cast<std::size_t>(state.positive("value_kb")),
+                      static_cast<std::size_t>(state.positive("txn_ops"))};
+    const auto cloud = deployment.sub("cloud");
+    s.cloud_requests_per_s = cloud.positive("rps");
+    s.list_lag = core::Seconds(cloud.number("list_lag_s"));
+    const auto resources = deployment.sub("resources");
+    s.most_sockets = static_cast<std::size_t>(resources.positive("max_sockets"));
+    s.memory_mb = resources.positive("mem_mb");
+    return s;
+}
+
+OperatorSettings load_operator_settings(const std::string& file) {
+    OperatorSettings own;
+    if (file.empty()) return own;
+    auto text = read_file(file);
+    // The library takes the first expression of a text; comments are not its business.
+    std::istringstream lines(text);
+    std::string stripped;
+    for (std::string line; std::getline(lines, line);)
+        stripped += line.substr(0, line.find(';')) + "\n";
+    const std::unique_ptr<sexp_t, void (*)(sexp_t*)> root(
+        parse_sexp(stripped.data(), stripped.size()), destroy_sexp);
+    if (!root || root->ty != SEXP_LIST) throw SettingsError(file + ": is not an S-expression list");
+
+    const auto number = [&](const std::string& name, const std::string& value) {
+        std::size_t used = 0;
+        double d = -1;
+        try {
+            d = std::stod(value, &used);
+        } catch (const std::exception&) {
+            used = 0;
+        }
+        if (used != value.size() || !std::isfinite(d) || d <= 0)
+            throw SettingsError(file + ": " + name + " must be a number above 0");
+        return d;
+    };
+    const std::map<std::string, std::function<void(const std::string&, const std::string&)>> known{
+        {"log-level",
+         [&](const auto& name, const auto& v) {
+             if (v != "error" && v != "info" && v != "debug")
+                 throw SettingsError(file + ": " + name + " must be error, info or debug");
+             own.log_level = v;
+         }},
+        {"cycle-s",
+         [&](const auto& n, const auto& v) { own.cycle = core::Seconds(number(n, v)); }},
+        {"lease-s",
+         [&](const auto& n, const auto& v) { own.lease = core::Seconds(number(n, v)); }},
+        {"idle-return-s",
+         [&](const auto& n, const auto& v) { own.idle_return = core::Seconds(number(n, v)); }},
+        {"least-paid-s",
+         [&](const auto& n, const auto& v) { own.least_paid = core::Seconds(number(n, v)); }},
+        {"demand-memory-s",
+         [&](const auto& n, const auto& v) { own.demand_memory = core::Seconds(number(n, v)); }},
+        {"headroom", [&](const auto& n, const auto& v) { own.headroom = number(n, v); }},
+        {"threads",
+         [&](const auto& n, const auto& v) {
+             own.threads = static_cast<std::size_t>(number(n, v));
+         }},
+        {"stack-kb",
+         [&](const auto& n, const auto& v) {
+             own.stack_kb = static_cast<std::size_t>(number(n, v));
+         }},
+        {"finals-cached", [&](const auto& n, const auto& v) {
+             own.finals_cached = static_cast<std::size_t>(number(n, v));
+         }}};
+
+    for (const sexp_t* entry = root->list; entry; entry = entry->next) {
+        const bool pair = entry->ty == SEXP_LIST && entry->list && entry->list->ty == SEXP_VALUE &&
+                          entry->list->next && entry->list->next->ty == SEXP_VALUE &&
+                          !entry->list->next->next;
+        if (!pair) throw SettingsError(file + ": an entry is not (NAME VALUE)");
+        const std::string name = entry->list->val;
+        const auto it = known.find(name);
+        if (it == known.end()) throw SettingsError(file + ": " + name + " is not a known setting");
+        it->second(name, entry->list->next->val);
+    }
+    return own;
+}
+
+core::Config core_config(const Settings& settings, const OperatorSettings& own) {
+    core::Config config;
+    config.name = settings.name;
+    config.zones = settings.zones;
+    config.teams = settings.teams;
+    config.workers = settings.workers;
+    config.cycle = own.cycle;
+    config.idle_return = own.idle_return;
+    config.least_paid = own.least_paid;
+    config.headroom = own.headroom;
+    config.demand_memory = own.demand_memory;
+    return config;
+}
+
+}  // namespace bendspindle::app
--- /dev/null
+++ b/src/core/controller.hpp
@@ -0,0 +1,237 @@
+// The state of the acting controller: home of the open pipelines, keeper of the machines and
+// steward of renting. Deterministic: everything it learns is passed in, with the time.
+//
+// Safety stands on confirmations (docs/design.md, "Placing anew"):
+//  - the token is the epoch of the view; a machine is *confirmed* once a report of its own shows
+//    this token, and from then on its task list is the truth;
+//  - starts travel only in answers to reports, which a worker executes before its next report or
+//    never, so the next report tells what became of a start;
+//  - a task is idle again only when a confirmed report shows it gone or its machine is proven gone.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "core/dsmf.hpp"
+#include "core/job.hpp"
+#include "core/types.hpp"
+
+namespace bendspindle::core {
+
+struct Config {
+    std::string name;
+    std::vector<std::string> zones;
+    std::vector<Team> teams;
+    WorkerTimes workers;
+    Seconds cycle{2};
+    // Idle machines are returned after this, when the learned demand does not want them.
+    Seconds idle_return{30};
+    // A machine that is deleted is paid for this long in any case.
+    Seconds least_paid{60};
+    // Standard deviations of learned demand that are kept ready beyond its mean.
+    double headroom = 1.0;
+    // Demand is averaged over about this long.
+    Seconds demand_memory{120};
+};
+
+struct Machine {
+    std::string name;
+    std::string address;
+    std::size_t type = 0;
+    bool type_known = false;
+    std::string type_name;
+    std::string zone;
+    bool spot = false;
+
+    bool durable = false;    // recorded in the state service: starts may be ordered
+    bool confirmed = false;  // a report of its own has shown this epoch's token
+    bool reported = false;   // any report in this epoch
+    bool releasing = false;
+    bool failing = false;  // tasks of several jobs failed on it
+    std::uint64_t stamp = 0;
+    std::uint64_t session = 0;
+    std::uint64_t seq = 0;
+    TimePoint first_seen{};
+    TimePoint last_report{};
+    TimePoint idle_since{};
+    TimePoint loaded_at{};
+    std::optional<TimePoint> taken_at;  // spot notice: when the cloud takes it
+    std::vector<ReportedTask> tasks;    // of the last report
+    std::set<std::pair<std::uint64_t, std::uint32_t>> held;  // placements: job serial, task
+    std::deque<std::pair<std::string, double>> images;       // most recently used last
+    std::set<std::string> failed_jobs;
+
+    bool draining() const { return releasing || failing || taken_at.has_value(); }
+};
+
+struct JobStatus {
+    Final final = Final::none;
+    std::uint32_t done = 0;
+    std::uint32_t running = 0;
+};
+
+struct ReportAnswer {
+    bool entitled = true;  // false: the worker knows a newer token than this controller
+    std::uint64_t token = 0;
+    std::vector<Order> orders;
+};
+
+// A record to be written. `version` and `stamp` come back with the outcome.
+struct Change {
+    enum class What : std::uint8_t { put_job, finish_job, put_machine, drop_machine };
+    What what = What::put_job;
+    std::string id;
+    std::uint64_t version = 0;
+    std::uint64_t stamp = 0;
+    JobRecord job;
+    ListedMachine machine;
+};
+
+struct RentPlan {
+    std::vector<RentRequest> rent;
+    std::vector<std::string> release;
+};
+
+enum class Verdict : std::uint8_t { fits, never_fits, not_ready };
+
+class Controller {
+  public:
+    Controller(Config config, std::uint64_t epoch);
+
+    std::uint64_t epoch() const { return epoch_; }
+    const Config& config() const { return config_; }
+
+    // Taking over: what the state service holds.
+    void set_types(std::vector<MachineType> types);
+    bool types_known() const { return !types_.empty(); }
+    void load_job(const JobRecord& record, std::uint64_t stamp, TimePoint now);
+    void load_machine(const ListedMachine& record, std::uint64_t stamp, TimePoint now);
+
+    // Users.
+    Verdict check(const JobSpec& spec) const;
+    bool knows(const std::string& id) const { return by_id_.contains(id); }
+    // False: the id was known already.
+    bool accept(const JobSpec& spec, WallTime submitted, TimePoint now);
+    std::optional<JobStatus> status(const std::string& id) const;
+    bool durable(const std::string& id) const;
+    // Marks a job as cancelled; its record is written next. False: it is done already or unknown.
+    bool cancel(const std::string& id, TimePoint now);
+    // The write of a job's first record found that the job exists or was over already.
+    void withdraw(const std::string& id);
+    void restamp(Change::What what, const std::string& id, std::uint64_t stamp);
+
+    // Workers.
+    ReportAnswer report(const Report& report, TimePoint now);
+
+    // Placing, called once a cycle and when something frees up.
+    void cycle(TimePoint now);
+
+    // Renting.
+    RentPlan plan_renting(TimePoint now);
+    void rented(const RentRequest& request, const std::vector<std::string>& names, TimePoint now);
+    void released(const std::vector<std::string>& names, TimePoint now);
+    void listed(const std::vector<ListedMachine>& machines, TimePoint now);
+
+    // Writing. Urgent changes first; done-sets wait for company.
+    std::vector<Change> changes(std::size_t most_operations, TimePoint now) const;
+    void written(const std::vector<Change>& changes, std::uint64_t stamp, TimePoint now);
+
+    // For tests and logs.
+    const std::map<std::string, Machine>& machines() const { return machines_; }
+    const std::map<std::uint64_t, std::unique_ptr<Job>>& jobs() const { return jobs_; }
+    struct Counts {
+        std::uint64_t starts = 0, preempted = 0, lost = 0, errors = 0, refused_starts = 0;
+    };
+    const Counts& counts() const { return counts_; }
+
+  private:
+    struct ClassStats {
+        JobSpec typical;
+        double ratio = 1;  // actual over estimated run time
+        std::uint32_t samples = 0;
+        double mean = 0;
+        double square = 0;
+        bool seen = false;
+        TimePoint last{};
+    };
+    struct PoolKey {
+        std::string type, zone;
+        bool spot;
+        auto operator<=>(const PoolKey&) const = default;
+    };
+
+    Job* find(const std::string& id);
+    const Job* find(const std::string& id) const;
+    Job& add_job(std::unique_ptr<Job> job);
+    void forget_job(Job& job);
+    Machine& machine_for(const Report& report, TimePoint now);
+    void reconcile(Machine& machine, const Report& report, TimePoint now,
+                   std::vector<Order>& orders);
+    void task_exited(Machine& machine, Job& job, const ReportedTask& task, TimePoint now);
+    void gang_broken(Job& job, std::uint64_t attempt, TimePoint now);
+    void drop(Job& job, std::uint32_t index);
+    void lose(Machine& machine, TimePoint now);
+    void note_image(Machine& machine, const Job& job);
+    void note_run(Job& job, Seconds ran);
+    void start_ready(Machine& machine, TimePoint now, std::vector<Order>& orders);
+    Resources used(const Machine& machine) const;
+    bool usable(const Machine& machine, TimePoint now) const;
+    bool allowed(const JobSpec& spec, const Machine& machine) const;
+    bool allowed(const JobSpec& spec, const std::string& type, const std::string& zone,
+                 bool spot) const;
+    // Could this job have tasks on machines that are not confirmed yet?
+    bool in_doubt(const Job& job) const;
+    Seconds expected_run(const Job& job) const;
+    Seconds remaining(const Job& job, const Placement& placement, TimePoint now) const;
+    void changed(Job& job, TimePoint now);
+    void finish(Job& job, Final final, TimePoint now);
+    void stop(Job& job, Placement& placement, Seconds grace);
+    void stop_for_drain(Machine& machine, TimePoint now);
+
+    // placing.cpp
+    struct Standing {
+        std::map<std::string, Resources> team_use;
+        std::unordered_set<std::uint64_t> guaranteed;  // serials of jobs within the guarantee
+    };
+    Standing standing() const;
+    int rank_of(const Job& job, const Standing& standing) const;
+    void unbind_all(TimePoint now);
+    std::uint32_t room_in_limit(const Job& job, const Standing& standing) const;
+    dsmf::Machine view_of(const Machine& machine, TimePoint now) const;
+    void bind(Job& job, std::uint32_t index, Machine& machine, std::uint64_t attempt, int rank,
+              Seconds makespan, Seconds rpm, TimePoint now);
+    void preempt(const std::vector<Job*>& waiting, Standing& standing, TimePoint now);
+    void watch_machines(TimePoint now);
+
+    // renting.cpp
+    std::uint32_t wanted(const Job& job, TimePoint now) const;
+    void learn_demand(const std::map<std::string, double>& demand, TimePoint now);
+
+    Config config_;
+    std::uint64_t epoch_ = 0;
+    std::uint64_t next_attempt_ = 0;
+    std::uint64_t next_serial_ = 0;
+    std::uint64_t next_request_ = 0;
+    std::vector<MachineType> types_;
+    std::unordered_map<std::string, std::size_t> type_index_;
+    std::map<std::uint64_t, std::unique_ptr<Job>> jobs_;  // by serial: order of acceptance
+    std::unordered_map<std::string, Job*> by_id_;
+    std::map<std::string, Machine> machines_;
+    std::map<std::string, std::uint64_t> dropping_;  // gone machines whose record is to go
+    std::set<std::string> gone_;
+    std::deque<std::string> gone_order_;
+    std::map<std::string, ClassStats> classes_;
+    std::map<PoolKey, TimePoint> no_capacity_until_;
+    std::map<std::string, Seconds> boot_seen_;
+    Counts counts_;
+};
+
+}  // namespace bendspindle::core
--- /dev/null
+++ b/src/core/dsmf.hpp
@@ -0,0 +1,89 @@
+// Dynamic shortest makespan first: a pure function from a snapshot to decisions.
+//
+// Di and Wang, "Dual-phase Just-in-time Workflow Scheduling in P2P Grid Systems". Pipelines are
+// taken in order of shortest remaining makespan, the eligible tasks of one pipeline by longest
+// rest path makespan (RPM), and each task goes to the machine that finishes it the earliest.
+// docs/design.md says what was kept and what was changed.
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/types.hpp"
+
+namespace bendspindle::core::dsmf {
+
+// One machine as the placing cycle sees it. Changed by `place` as tasks are bound to it.
+struct Machine {
+    struct Release {
+        Seconds in{0};
+        Resources room;
+    };
+    Resources free;
+    std::vector<Release> releases;  // running tasks, by the time until they are expected to end
+    Seconds fetch_queue{0};         // images this machine is still fetching
+    std::unordered_map<std::string, Seconds> images;  // cached (0) or on its way, by arrival
+    double fetch_gb_per_s = 1;
+    double speed = 1;  // relative to the fleet
+    double cost = 0;   // breaks ties of finish time: cheaper first
+    std::size_t zone = 0;
+};
+
+// One eligible job of a pipeline; its tasks share its RPM.
+struct EligibleJob {
+    std::size_t job = 0;  // the caller's index
+    std::uint32_t tasks = 0;
+    bool gang = false;
+    bool one_zone = false;
+    bool spread = false;
+    std::uint32_t spread_of = 0;  // the job's total number of tasks, for `spread`
+    // Tasks of this job already on machines, per zone, attempts of the past included.
+    std::vector<std::uint32_t> in_zone;
+    Resources need;
+    std::string image;
+    double image_gb = 0;
+    Seconds run{0};        // expected run time of a task at fleet averages
+    Seconds rest_after{0}; // longest expected path from this job's end to the pipeline's end
+    std::function<bool(std::size_t machine)> allowed;
+};
+
+struct Pipeline {
+    int rank = 0;  // the exceptions: services, guarantees, preemption order. Lower goes first
+    std::vector<EligibleJob> eligible;
+};
+
+struct Bind {
+    std::size_t pipeline = 0;
+    std::size_t job = 0;
+    std::size_t machine = 0;
+    Seconds opens{0};
+    Seconds rpm{0};
+    Seconds makespan{0};
+};
+
+struct Result {
+    std::vector<Bind> binds;
+    // Pipelines in the order they were handled, and their makespans.
+    std::vector<std::size_t> order;
+    std::vector<Seconds> makespan;
+};
+
+// Rest path makespans of a graph of waits-on edges at fleet averages: per node, its own length
+// plus the longest path behind it. `waits_on[i]` lists what node i waits on.
+std::vector<Seconds> rest_paths(const std::vector<Seconds>& length,
+                                const std::vector<std::vector<std::size_t>>& waits_on,
+                                const std::vector<std::vector<Seconds>>& transfer);
+
+// The time until room for `need` opens, judged by running tasks; `max` if never.
+Seconds opens_in(const Machine& machine, const Resources& need);
+Seconds input_arrives(const Machine& machine, const EligibleJob& job);
+Seconds finish_time(const Machine& machine, const EligibleJob& job);
+
+// Orders pipelines and binds their eligible tasks. Only room that opens within `cycle` counts.
+Result place(const std::vector<Pipeline>& pipelines, std::vector<Machine>& machines,
+             Seconds cycle);
+
+}  // namespace bendspindle::core::dsmf
--- /dev/null
+++ b/src/core/job.cpp
@@ -0,0 +1,45 @@
+#include "core/job.hpp"
+
+#include <algorithm>
+
+namespace bendspindle::core {
+
+std::size_t Job::placed_not_done() const {
+    std::size_t n = 0;
+    for (const auto& [index, placement] : placed)
+        if (phase[index] == TaskPhase::placed) ++n;
+    return n;
+}
+
+std::uint32_t Job::next_idle() {
+    while (first_idle < phase.size() && phase[first_idle] != TaskPhase::idle) ++first_idle;
+    return first_idle;
+}
+
+std::vector<Range> done_ranges(const Job& job) {
+    std::vector<Range> out;
+    for (std::uint32_t i = 0; i < job.phase.size(); ++i) {
+        if (job.phase[i] != TaskPhase::done && job.phase[i] != TaskPhase::durable) continue;
+        if (!out.empty() && out.back().second + 1 == i)
+            out.back().second = i;
+        else
+            out.push_back({i, i});
+    }
+    return out;
+}
+
+void mark_done(Job& job, const std::vector<Range>& ranges, TaskPhase as) {
+    for (const auto& [first, last] : ranges)
+        for (std::uint32_t i = first; i <= last && i < job.phase.size(); ++i) {
+            if (job.phase[i] != TaskPhase::done && job.phase[i] != TaskPhase::durable)
+                ++job.finished;
+            job.phase[i] = as;
+        }
+}
+
+JobRecord to_record(const Job& job, const std::string& home) {
+    return JobRecord{job.spec,          home,     job.submitted, job.last_attempt,
+                     done_ranges(job), job.final};
+}
+
+}  // namespace bendspindle::core
--- /dev/null
+++ b/src/core/job.hpp
@@ -0,0 +1,97 @@
+// One accepted job: what its user asked for, where its tasks stand, and what of that is durable.
+#pragma once
+
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/types.hpp"
+
+namespace bendspindle::core {
+
+enum class Final : std::uint8_t { none, done, cancelled };
+
+using Range = std::pair<std::uint32_t, std::uint32_t>;  // first and last task, both included
+
+// The durable form of a job, as it stands in the state service.
+struct JobRecord {
+    JobSpec spec;
+    std::string home;
+    WallTime submitted{};
+    std::uint64_t last_attempt = 0;
+    std::vector<Range> done;
+    Final final = Final::none;
+};
+
+enum class TaskPhase : std::uint8_t {
+    idle,     // may be bound
+    placed,   // has a placement: bound, ordered or on a machine
+    done,     // completed, not yet in a durable done-set
+    durable,  // completed, and the done-set that says so is durable
+};
+
+struct Placement {
+    enum class Stage : std::uint8_t {
+        bound,    // in a machine's ready list; no order given
+        ordered,  // a start went out with the answer to report `ordered_at`
+        on,       // the machine has reported it
+    };
+    std::string machine;
+    std::uint64_t attempt = 0;
+    Stage stage = Stage::bound;
+    TaskState state = TaskState::fetching;
+    std::uint64_t ordered_session = 0;
+    std::uint64_t ordered_seq = 0;
+    TimePoint since{};        // of the stage
+    TimePoint running_from{};  // when it was first seen running
+    bool stopping = false;
+    Seconds grace{0};
+    TimePoint stop_sent{};
+    TimePoint held_until{};  // room was made for it by stopping others: not rebound before
+    // Ready list order: DSMF's makespan, then RPM; `rank` holds the exceptions.
+    int rank = 0;
+    Seconds makespan{0};
+    Seconds rpm{0};
+};
+
+struct Job {
+    JobSpec spec;
+    std::uint64_t serial = 0;
+    WallTime submitted{};
+    TimePoint accepted_at{};
+    bool accepted_here = false;  // in this epoch: no older epoch can have started any of it
+    Final final = Final::none;
+    bool final_durable = false;
+    bool durable = false;
+    std::uint64_t last_attempt = 0;
+    std::vector<TaskPhase> phase;
+    std::map<std::uint32_t, Placement> placed;
+    std::uint32_t finished = 0;  // done or durable
+    std::uint32_t first_idle = 0;
+    // Errors speak against the job only when several machines agree.
+    std::uint32_t errors = 0;
+    TimePoint not_before{};
+    TimePoint cancelled_at{};
+    // Writing.
+    std::uint64_t stamp = 0;    // of the record in the state service; 0: none yet
+    std::uint64_t changed = 0;  // counts changes of what the record holds
+    std::uint64_t written = 0;  // the change that is durable
+    TimePoint changed_at{};
+    Seconds run_mean{0};  // of this job's own tasks, once some have completed
+    std::uint32_t run_count = 0;
+
+    std::uint32_t idle_count() const {
+        return spec.tasks - finished - static_cast<std::uint32_t>(placed_not_done());
+    }
+    std::size_t placed_not_done() const;
+    bool over() const { return final != Final::none; }
+    std::uint32_t next_idle();
+};
+
+std::vector<Range> done_ranges(const Job& job);
+void mark_done(Job& job, const std::vector<Range>& ranges, TaskPhase as);
+// The record as of now.
+JobRecord to_record(const Job& job, const std::string& home);
+
+}  // namespace bendspindle::core
--- /dev/null
+++ b/src/core/renting.cpp
@@ -0,0 +1,241 @@
+// What to rent and what to return. Demand is packed onto the machines there are; what does not
+// fit is rented, and a machine that nothing is packed on is returned once it has idled.
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+#include "core/controller.hpp"
+
+namespace bendspindle::core {
+
+namespace {
+
+constexpr std::uint32_t most_a_request = 50;
+constexpr std::size_t most_a_release = 100;
+constexpr Seconds refused_pause{15};
+// Part of a deadline's slack that planning counts on.
+constexpr double slack_used = 0.6;
+
+}  // namespace
+
+// How many of a job's tasks should run at once: all of a gang; of an array, as many as finish it
+// by its deadline, or within about a boot where it has none.
+std::uint32_t Controller::wanted(const Job& job, TimePoint now) const {
+    const auto left = job.spec.tasks - job.finished;
+    if (job.spec.kind != Kind::array || left == 0) return left;
+    const auto run = expected_run(job);
+    Seconds horizon = run;
+    if (job.spec.deadline) {
+        const auto age = between(job.accepted_at, now);
+        horizon = (*job.spec.deadline - age) * slack_used;
+    }
+    const double rounds = std::max(1.0, std::floor(horizon / run));
+    return static_cast<std::uint32_t>(std::ceil(left / rounds));
+}
+
+void Controller::learn_demand(const std::map<std::string, double>& demand, TimePoint now) {
+    for (auto& [name, stats] : classes_) {
+        const auto it = demand.find(name);
+        const double value = it == demand.end() ? 0 : it->second;
+        if (!stats.seen) {
+            stats.seen = true;
+            stats.mean = value;
+            stats.square = value * value;
+            stats.last = now;
+            continue;
+        }
+        const double passed = between(stats.last, now).count();
+        stats.last = now;
+        const double weight = 1 - std::exp(-passed / config_.demand_memory.count());
+        stats.mean += (value - stats.mean) * weight;
+        stats.square += (value * value - stats.square) * weight;
+    }
+}
+
+RentPlan Controller::plan_renting(TimePoint now) {
+    RentPlan plan;
+    if (!types_known()) return plan;
+
+    struct Want {
+        const JobSpec* spec;
+        std::uint32_t tasks;
+        bool expected;  // learned, not asked for yet
+        int rank;
+    };
+    std::vector<Want> wants;
+    std::map<std::string, double> demand;
+    std::map<std::string, std::uint32_t> asked;
+    const auto standing = this->standing();
+    for (const auto& [serial, job] : jobs_) {
+        if (job->over() || !job->durable) continue;
+        auto n = wanted(*job, now);
+        const auto allowed_now = room_in_limit(*job, standing) +
+                                 static_cast<std::uint32_t>(job->placed.size());
+        n = std::min(n, allowed_now);
+        classes_[job->spec.job_class].typical = job->spec;
+        demand[job->spec.job_class] += n;
+        asked[job->spec.job_class] += n;
+        if (n > 0) wants.push_back({&job->spec, n, false, rank_of(*job, standing)});
+    }
+    learn_demand(demand, now);
+    for (const auto& [name, stats] : classes_) {
+        const double deviation =
+            std::sqrt(std::max(0.0, stats.square - stats.mean * stats.mean));
+        const auto target =
+            static_cast<std::uint32_t>(std::ceil(stats.mean + config_.headroom * deviation - 0.5));
+        const auto have = asked.contains(name) ? asked.at(name) : 0;
+        if (target > have) wants.push_back({&stats.typical, target - have, true, 1000});
+    }
+    // Those with the fewest choices are packed first: what may not use spot machines, then what
+    // needs the most of a machine.
+    std::stable_sort(wants.begin(), wants.end(), [](const Want& a, const Want& b) {
+        if (a.expected != b.expected) return b.expected;
+        if (a.spec->spot != b.spec->spot) return b.spec->spot;
+        if (a.spec->need.gpus != b.spec->need.gpus) return a.spec->need.gpus > b.spec->need.gpus;
+        return a.rank < b.rank;
+    });
+
+    struct Bin {
+        const Machine* machine = nullptr;  // null: to be rented
+        PoolKey pool;
+        std::size_t type = 0;
+        Resources free;
+        bool used = false;
+    };
+    std::vector<Bin> bins;
+    for (const auto& [name, machine] : machines_) {
+        if (machine.draining() || !machine.type_known) continue;
+        if (machine.reported && between(machine.last_report, now) > config_.workers.lease) continue;
+        bins.push_back({&machine, {machine.type_name, machine.zone, machine.spot}, machine.type,
+                        types_[machine.type].size, false});
+    }
+
+    // The price of one task on a machine of this kind, with what the task leaves unused of it.
+    const auto price_a_task = [&](const JobSpec& spec, std::size_t type, bool spot) {
+        const auto& t = types_[type];
+        double fit = std::numeric_limits<double>::max();
+        if (spec.need.cpus > 0) fit = std::min(fit, std::floor(t.size.cpus / spec.need.cpus));
+        if (spec.need.gpus > 0) fit = std::min(fit, std::floor(t.size.gpus / spec.need.gpus));
+        if (spec.need.memory_gb > 0)
+            fit = std::min(fit, std::floor(t.size.memory_gb / spec.need.memory_gb));
+        return (spot ? t.spot_price : t.price) / std::max(fit, 1.0);
+    };
+
+    std::map<PoolKey, std::uint32_t> to_rent;
+    for (const auto& want : wants) {
+        const auto& spec = *want.spec;
+        std::optional<std::string> zone = spec.zone;
+        const bool together = spec.one_zone && spec.kind == Kind::gang && spec.tasks > 1;
+        std::vector<std::size_t> order(bins.size());
+        for (std::size_t i = 0; i < order.size(); ++i) order[i] = i;
+        std::vector<double> price(bins.size());
+        const auto price_of = [&](std::size_t b) {
+            return price_a_task(spec, bins[b].type, bins[b].pool.spot);
+        };
+        for (std::size_t i = 0; i < bins.size(); ++i) price[i] = price_of(i);
+        std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+            if (bins[a].used != bins[b].used && price[a] == price[b]) return bins[a].used;
+            return price[a] < price[b];
+        });
+        std::uint32_t left = want.tasks;
+        for (const auto b : order) {
+            auto& bin = bins[b];
+            while (left > 0 && bin.free.holds(spec.need) &&
+                   allowed(spec, bin.pool.type, bin.pool.zone, bin.pool.spot) &&
+                   !(together && zone && *zone != bin.pool.zone)) {
+                bin.free -= spec.need;
+                bin.used = true;
+                --left;
+                if (together) zone = bin.pool.zone;
+            }
+            if (left == 0) break;
+        }
+        while (left > 0) {
+            // Rent the kind that runs one task for the least, of those not refused lately.
+            std::optional<PoolKey> best;
+            std::size_t best_type = 0;
+            double best_price = std::numeric_limits<double>::max();
+            std::uint32_t best_have = 0;
+            for (std::size_t t = 0; t < types_.size(); ++t) {
+                if (!types_[t].size.holds(spec.need)) continue;
+                for (const auto& z : types_[t].zones)
+                    for (const bool spot : {true, false}) {
+                        if (!allowed(spec, types_[t].name, z, spot)) continue;
+                        if (together && zone && *zone != z) continue;
+                        const PoolKey pool{types_[t].name, z, spot};
+                        const auto pause = no_capacity_until_.find(pool);
+                        if (pause != no_capacity_until_.end() && pause->second > now) continue;
+                        const double cost = price_a_task(spec, t, spot);
+                        std::uint32_t have = 0;
+                        for (const auto& bin : bins)
+                            if (bin.pool == pool) ++have;
+                        if (cost < best_price || (cost == best_price && have < best_have)) {
+                            best = pool;
+                            best_type = t;
+                            best_price = cost;
+                            best_have = have;
+                        }
+                    }
+            }
+            if (!best) break;
+            ++to_rent[*best];
+            Bin bin{nullptr, *best, best_type, types_[best_type].size, true};
+            while (left > 0 && bin.free.holds(spec.need)) {
+                bin.free -= spec.need;
+                --left;
+            }
+            if (together) zone = best->zone;
+            bins.push_back(bin);
+            if (to_rent[*best] >= most_a_request) break;
+        }
+    }
+
+    for (const auto& [pool, count] : to_rent) {
+        RentRequest request;
+        // The epoch makes the name unique: it is never used by another steward.
+        request.request = "r-" + std::to_string(epoch_) + "-" + std::to_string(++next_request_);
+        request.type = pool.type;
+        request.zone = pool.zone;
+        request.spot = pool.spot;
+        request.count = std::min(count, most_a_request);
+        plan.rent.push_back(request);
+    }
+
+    std::set<std::string> wanted_names;
+    for (const auto& bin : bins)
+        if (bin.machine && bin.used) wanted_names.insert(bin.machine->name);
+    for (auto& [name, machine] : machines_) {
+        const bool paid = between(machine.first_seen, now) > config_.least_paid;
+        const bool idle = machine.reported && machine.confirmed && machine.held.empty() &&
+                          between(machine.idle_since, now) > config_.idle_return;
+        if (!machine.releasing && !wanted_names.contains(name) && paid && idle)
+            machine.releasing = true;
+        if (machine.releasing && plan.release.size() < most_a_release)
+            plan.release.push_back(name);
+    }
+    return plan;
+}
+
+void Controller::rented(const RentRequest& request, const std::vector<std::string>& names,
+                        TimePoint now) {
+    if (names.size() < request.count)
+        no_capacity_until_[{request.type, request.zone, request.spot}] =
+            later(now, refused_pause);
+    for (const auto& name : names) {
+        if (gone_.contains(name)) continue;
+        auto [it, fresh] = machines_.try_emplace(name);
+        if (!fresh) continue;
+        auto& machine = it->second;
+        machine.name = name;
+        machine.type_name = request.type;
+        if (const auto type = type_index_.find(request.type); type != type_index_.end()) {
+            machine.type = type->second;
+            machine.type_known = true;
+        }
+        machine.zone = request.zone;
+        machine.spot = request.spot;
+        machine.first_seen = machine.last_report = machine.idle_since = now;
+    }
+}
+
+}  // namespace bendspindle::core
--- /dev/null
+++ b/src/io/http_client.cpp
@@ -0,0 +1,85 @@
+#include "io/http_client.hpp"
+
+#include <httplib.h>
+
+#include <charconv>
+
+namespace bendspindle::io {
+
+namespace {
+
+constexpr std::chrono::milliseconds connect_limit{1000};
+constexpr const char* cbor = "application/cbor";
+constexpr std::size_t most_idle = 4;
+
+std::optional<HttpAnswer> answer_of(httplib::Result result) {
+    if (!result) return std::nullopt;
+    return HttpAnswer{result->status, std::move(result->body)};
+}
+
+}  // namespace
+
+std::optional<Endpoint> parse_endpoint(const std::string& text) {
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos || colon == 0) return std::nullopt;
+    Endpoint out{text.substr(0, colon), 0};
+    const auto* end = text.data() + text.size();
+    const auto [last, error] = std::from_chars(text.data() + colon + 1, end, out.port);
+    if (error != std::errc{} || last != end || out.port < 1 || out.port > 65535)
+        return std::nullopt;
+    return out;
+}
+
+HttpClient::HttpClient(Endpoint endpoint, std::chrono::milliseconds timeout)
+    : endpoint_(std::move(endpoint)), timeout_(timeout) {}
+
+HttpClient::~HttpClient() = default;
+
+std::unique_ptr<httplib::Client> HttpClient::borrow(std::chrono::milliseconds extra) {
+    std::unique_ptr<httplib::Client> client;
+    {
+        const std::lock_guard lock(mutex_);
+        if (!idle_.empty()) {
+            client = std::move(idle_.back());
+            idle_.pop_back();
+        }
+    }
+    if (!client) {
+        client = std::make_unique<httplib::Client>(endpoint_.host, endpoint_.port);
+        client->set_keep_alive(true);
+        client->set_tcp_nodelay(true);
+        client->set_connection_timeout(connect_limit);
+        client->set_write_timeout(timeout_);
+    }
+    client->set_read_timeout(timeout_ + extra);
+    return client;
+}
+
+void HttpClient::give_back(std::unique_ptr<httplib::Client> client) {
+    const std::lock_guard lock(mutex_);
+    if (idle_.size() < most_idle) idle_.push_back(std::move(client));
+}
+
+std::optional<HttpAnswer> HttpClient::get(const std::string& path,
+                                          std::chrono::milliseconds extra) {
+    auto client = borrow(extra);
+    auto answer = answer_of(client->Get(path));
+    if (answer) give_back(std::move(client));
+    return answer;
+}
+
+std::optional<HttpAnswer> HttpClient::post(const std::string& path, const std::string& body) {
+    auto client = borrow({});
+    auto answer = answer_of(client->Post(path, body, cbor));
+    if (answer) give_back(std::move(client));
+    return answer;
+}
+
+std::optional<HttpAnswer> HttpClient::erase(const std::string& path) {
+    auto client = borrow({});
+    auto answer = answer_of(client->Delete(path));
+    if (answer) give_back(std::move(client));
+    return answer;
+}
+
+}  // namespace bendspindle::io
--- /dev/null
+++ b/src/io/peer_link.hpp
@@ -0,0 +1,69 @@
+// Links between controllers: blocking sockets that carry the packed structs of wire/peer.
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "io/http_client.hpp"
+#include "wire/peer.hpp"
+
+namespace bendspindle::io {
+
+// A socket that closes itself.
+class Socket {
+  public:
+    explicit Socket(int fd = -1) : fd_(fd) {}
+    Socket(Socket&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+    Socket& operator=(Socket&& other) noexcept;
+    Socket(const Socket&) = delete;
+    Socket& operator=(const Socket&) = delete;
+    ~Socket();
+    int fd() const { return fd_; }
+    explicit operator bool() const { return fd_ >= 0; }
+
+  private:
+    int fd_;
+};
+
+// Calls to one sibling. Each call borrows a connection of its own, so that a call that hangs
+// delays no other.
+class PeerClient {
+  public:
+    PeerClient(Endpoint endpoint, std::chrono::milliseconds timeout)
+        : endpoint_(std::move(endpoint)), timeout_(timeout) {}
+    // nullopt: no answer; the sibling may have acted all the same.
+    std::optional<wire::peer::Answer> call(const wire::peer::Request& request);
+
+  private:
+    std::optional<wire::peer::Answer> exchange(const Socket& socket, const std::string& frame);
+
+    Endpoint endpoint_;
+    std::chrono::milliseconds timeout_;
+    std::mutex mutex_;
+    std::vector<Socket> idle_;
+};
+
+// Accepts siblings' connections and answers their requests, a thread a connection.
+class PeerServer {
+  public:
+    using Handler = std::function<wire::peer::Answer(const wire::peer::Request&)>;
+    using Complaint = std::function<void(const std::string&)>;
+    PeerServer(Handler handler, Complaint complain)
+        : handler_(std::move(handler)), complain_(std::move(complain)) {}
+    bool bind(const Endpoint& endpoint);
+    void run();
+
+  private:
+    void serve(Socket socket);
+
+    Handler handler_;
+    Complaint complain_;
+    Socket listening_;
+};
+
+}  // namespace bendspindle::io
--- /dev/null
+++ b/src/wire/peer.cpp
@@ -0,0 +1,120 @@
+#include "wire/peer.hpp"
+
+#include <type_traits>
+
+namespace bendspindle::wire::peer {
+
+namespace {
+
+constexpr std::uint8_t answer_kind = 0x80;
+
+template <typename Int>
+void put(std::string& out, Int value) {
+    static_assert(std::is_unsigned_v<Int>);
+    for (int shift = static_cast<int>(sizeof(Int)) * 8 - 8; shift >= 0; shift -= 8)
+        out.push_back(static_cast<char>(value >> shift & 0xff));
+}
+
+// Reads fixed-width fields; once bytes run out, `good` is false and zeros are returned.
+class Reader {
+  public:
+    explicit Reader(std::string_view bytes) : bytes_(bytes) {}
+
+    template <typename Int>
+    Int get() {
+        if (bytes_.size() < sizeof(Int)) return fail<Int>();
+        Int value = 0;
+        for (std::size_t i = 0; i < sizeof(Int); ++i)
+            value = static_cast<Int>(value << 8 | static_cast<unsigned char>(bytes_[i]));
+        bytes_.remove_prefix(sizeof(Int));
+        return value;
+    }
+    std::string text(std::size_t length) {
+        if (bytes_.size() < length) return fail<std::string>();
+        std::string out(bytes_.substr(0, length));
+        bytes_.remove_prefix(length);
+        return out;
+    }
+    bool finished() const { return good_ && bytes_.empty(); }
+
+  private:
+    template <typename T>
+    T fail() {
+        good_ = false;
+        bytes_ = {};
+        return T{};
+    }
+    std::string_view bytes_;
+    bool good_ = true;
+};
+
+std::string frame(std::uint8_t kind, const std::string& payload) {
+    std::string out;
+    out.reserve(header_size + payload.size());
+    put<std::uint8_t>(out, version);
+    put<std::uint8_t>(out, kind);
+    put<std::uint16_t>(out, 0);
+    put<std::uint32_t>(out, static_cast<std::uint32_t>(payload.size()));
+    return out += payload;
+}
+
+}  // namespace
+
+std::string pack(const Request& r) {
+    std::string payload;
+    put<std::uint64_t>(payload, r.epoch);
+    put<std::uint16_t>(payload, static_cast<std::uint16_t>(r.id.size()));
+    payload += r.id;
+    put<std::uint32_t>(payload, static_cast<std::uint32_t>(r.body.size()));
+    payload += r.body;
+    return frame(static_cast<std::uint8_t>(r.op), payload);
+}
+
+std::string pack(const Answer& a) {
+    std::string payload;
+    put<std::uint16_t>(payload, a.status);
+    put<std::uint16_t>(payload, a.retry_after);
+    put<std::uint64_t>(payload, a.epoch);
+    put<std::uint32_t>(payload, static_cast<std::uint32_t>(a.body.size()));
+    payload += a.body;
+    return frame(answer_kind, payload);
+}
+
+ParsedHeader parse_header(std::string_view bytes) {
+    if (bytes.size() != header_size) return {{}, HeaderError::malformed};
+    Reader in(bytes);
+    if (in.get<std::uint8_t>() != version) return {{}, HeaderError::version};
+    ParsedHeader out;
+    out.header.kind = in.get<std::uint8_t>();
+    const auto zero = in.get<std::uint16_t>();
+    out.header.length = in.get<std::uint32_t>();
+    if (zero != 0 || out.header.length > most_payload) out.error = HeaderError::malformed;
+    return out;
+}
+
+std::optional<Request> parse_request(std::uint8_t kind, std::string_view payload) {
+    if (kind < static_cast<std::uint8_t>(Op::submit) || kind > static_cast<std::uint8_t>(Op::report))
+        return std::nullopt;
+    Reader in(payload);
+    Request out;
+    out.op = static_cast<Op>(kind);
+    out.epoch = in.get<std::uint64_t>();
+    out.id = in.text(in.get<std::uint16_t>());
+    out.body = in.text(in.get<std::uint32_t>());
+    if (!in.finished()) return std::nullopt;
+    return out;
+}
+
+std::optional<Answer> parse_answer(std::uint8_t kind, std::string_view payload) {
+    if (kind != answer_kind) return std::nullopt;
+    Reader in(payload);
+    Answer out;
+    out.status = in.get<std::uint16_t>();
+    out.retry_after = in.get<std::uint16_t>();
+    out.epoch = in.get<std::uint64_t>();
+    out.body = in.text(in.get<std::uint32_t>());
+    if (!in.finished()) return std::nullopt;
+    return out;
+}
+
+}  // namespace bendspindle::wire::peer
--- /dev/null
+++ b/src/wire/peer.hpp
@@ -0,0 +1,52 @@
+// What controllers say to each other: structs packed by hand, big-endian, versioned and checked
+// for length before anything is read.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace bendspindle::wire::peer {
+
+constexpr std::uint8_t version = 1;
+constexpr std::size_t header_size = 8;
+constexpr std::size_t most_payload = 128 * 1024;
+
+enum class Op : std::uint8_t { submit = 1, status = 2, cancel = 3, report = 4 };
+
+// Frame: u8 version, u8 kind, u16 zero, u32 payload length.
+struct Header {
+    std::uint8_t kind = 0;
+    std::uint32_t length = 0;
+};
+enum class HeaderError : std::uint8_t { none, version, malformed };
+struct ParsedHeader {
+    Header header;
+    HeaderError error = HeaderError::none;
+};
+
+// A user's or worker's request handed on to the controller that acts.
+// u64 sender's epoch, u16 id length, id, u32 body length, body.
+struct Request {
+    Op op = Op::status;
+    std::uint64_t epoch = 0;
+    std::string id;
+    std::string body;
+};
+
+// u16 status, u16 retry-after seconds, u64 epoch, u32 body length, body.
+struct Answer {
+    std::uint16_t status = 503;
+    std::uint16_t retry_after = 0;
+    std::uint64_t epoch = 0;
+    std::string body;
+};
+
+std::string pack(const Request& request);
+std::string pack(const Answer& answer);
+ParsedHeader parse_header(std::string_view bytes);
+std::optional<Request> parse_request(std::uint8_t kind, std::string_view payload);
+std::optional<Answer> parse_answer(std::uint8_t kind, std::string_view payload);
+
+}  // namespace bendspindle::wire::peer
