Placing and renting without copies of the fleet

Now a heap finds the next machine, trials put back only what they changed, preemption looks at machines only when something may be stopped, renting counts by pools, and a report that says what the last one said costs a comparison. Ruled out: other decisions; a test compares them with the plain form.

--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -13,14 +13,6 @@
 constexpr double least_ratio = 0.2;
 constexpr double most_ratio = 5.0;
 
-template <typename Map>
-void drop_oldest_image(Map& images, double& total, double limit) {
-    while (total > limit && !images.empty()) {
-        total -= images.front().second;
-        images.pop_front();
-    }
-}
-
 }  // namespace
 
 Controller::Controller(Config config, std::uint64_t epoch)
@@ -50,6 +42,7 @@
 Job& Controller::add_job(std::unique_ptr<Job> job) {
     job->serial = ++next_serial_;
     job->phase.assign(job->spec.tasks, TaskPhase::idle);
+    job->image = dsmf::image_id(job->spec.image);
     auto& ref = *job;
     by_id_[ref.spec.id] = &ref;
     jobs_[ref.serial] = std::move(job);
@@ -203,6 +196,13 @@
     placement.stop_sent = TimePoint{};
 }
 
+void Controller::hold(Machine& machine, Job& job, std::uint32_t index,
+                      const Placement& placement) {
+    auto& kept = job.placed[index];
+    kept = placement;
+    machine.held[{job.serial, index}] = {&job, &kept};
+}
+
 void Controller::drop(Job& job, std::uint32_t index) {
     const auto it = job.placed.find(index);
     if (it == job.placed.end()) return;
@@ -210,19 +210,23 @@
         m->second.held.erase({job.serial, index});
     job.placed.erase(it);
     if (job.phase[index] == TaskPhase::placed) {
-        job.phase[index] = TaskPhase::idle;
+        job.set_phase(index, TaskPhase::idle);
         job.first_idle = std::min(job.first_idle, index);
     }
 }
 
 void Controller::note_image(Machine& machine, const Job& job) {
-    if (job.spec.image.empty() || !machine.type_known) return;
+    if (job.image == 0 || !machine.type_known) return;
     auto& images = machine.images;
-    std::erase_if(images, [&](const auto& entry) { return entry.first == job.spec.image; });
-    images.push_back({job.spec.image, job.spec.image_gb});
+    if (!images.empty() && images.back().id == job.image) return;
+    std::erase_if(images, [&](const auto& entry) { return entry.id == job.image; });
+    images.push_back({job.image, job.spec.image_gb});
     double total = 0;
-    for (const auto& [name, gb] : images) total += gb;
-    drop_oldest_image(images, total, types_[machine.type].cache_gb);
+    for (const auto& entry : images) total += entry.gb;
+    while (total > types_[machine.type].cache_gb && !images.empty()) {
+        total -= images.front().gb;
+        images.erase(images.begin());
+    }
 }
 
 void Controller::note_run(Job& job, Seconds ran) {
@@ -255,17 +259,8 @@
 }
 
 Resources Controller::used(const Machine& machine) const {
-    Resources sum;
-    for (const auto& [serial, index] : machine.held) {
-        const auto& job = *jobs_.at(serial);
-        sum += job.spec.need;
-    }
-    // Strays: on the machine by its report, but no placement of ours.
-    for (const auto& task : machine.tasks) {
-        if (task.state == TaskState::exited) continue;
-        const auto* job = find(task.job);
-        if (job && !machine.held.contains({job->serial, task.index})) sum += job->spec.need;
-    }
+    Resources sum = machine.strays;
+    for (const auto& [key, task] : machine.held) sum += task.job->spec.need;
     return sum;
 }
 
@@ -393,8 +388,8 @@
     machine.confirmed = true;
     reconcile(machine, report, Source::report, now, answer.orders);
     if (machine.taken_at) stop_for_drain(machine, now);
-    for (const auto& [serial, index] : machine.held) {
-        auto& placement = jobs_.at(serial)->placed.at(index);
+    for (const auto& [key, task] : machine.held) {
+        auto& placement = *task.placement;
         if (placement.stage != Placement::Stage::on || !placement.stopping) continue;
         // Once told with grace, a task saves on its own; the order is repeated only when the
         // answer that carried it may have been lost.
@@ -402,7 +397,7 @@
         if (placement.state == TaskState::saving && placement.grace > Seconds{0}) continue;
         if (placement.stop_sent != TimePoint{} && !lost) continue;
         placement.stop_sent = now;
-        answer.orders.push_back({Order::Verb::stop, jobs_.at(serial)->spec.id, index,
+        answer.orders.push_back({Order::Verb::stop, task.job->spec.id, key.second,
                                  placement.attempt, placement.grace});
     }
     start_ready(machine, now, false, answer.orders);
@@ -412,6 +407,16 @@
 
 void Controller::reconcile(Machine& machine, const Report& report, Source source, TimePoint now,
                            std::vector<Order>& orders) {
+    // Most reports say what the one before said. They change nothing here unless an order is on
+    // its way or an exited task waits for its done-set.
+    const auto settled = [](const auto& entry) {
+        return entry.second.placement->stage == Placement::Stage::on;
+    };
+    const auto present = [](const ReportedTask& task) { return task.state != TaskState::exited; };
+    if (machine.tasks == report.tasks && machine.tasks.size() == machine.held.size() &&
+        std::all_of(machine.held.begin(), machine.held.end(), settled) &&
+        std::all_of(machine.tasks.begin(), machine.tasks.end(), present))
+        return;
     machine.tasks = report.tasks;
     std::set<std::pair<std::uint64_t, std::uint32_t>> seen;
     for (const auto& task : report.tasks) {
@@ -478,18 +483,20 @@
         placement.state = task.state;
         placement.since = placement.running_from = now;
         if (!wanted) stop(*job, placement, Seconds{0});
-        if (job->phase[task.index] == TaskPhase::idle) job->phase[task.index] = TaskPhase::placed;
-        job->placed[task.index] = placement;
-        machine.held.insert({job->serial, task.index});
+        if (job->phase[task.index] == TaskPhase::idle)
+            job->set_phase(task.index, TaskPhase::placed);
+        hold(machine, *job, task.index, placement);
         seen.insert({job->serial, task.index});
         if (task.state != TaskState::fetching) note_image(machine, *job);
     }
 
-    const auto held = machine.held;
+    std::vector<std::pair<std::uint64_t, std::uint32_t>> held;
+    for (const auto& [key, task] : machine.held) held.push_back(key);
     for (const auto& key : held) {
-        if (seen.contains(key) || !machine.held.contains(key)) continue;
-        auto& job = *jobs_.at(key.first);
-        auto& placement = job.placed.at(key.second);
+        const auto entry = machine.held.find(key);
+        if (seen.contains(key) || entry == machine.held.end()) continue;
+        auto& job = *entry->second.job;
+        auto& placement = *entry->second.placement;
         if (placement.stage == Placement::Stage::bound) continue;
         if (placement.in_flight && report.session == placement.ordered_session) {
             // Once the call is given up, the same start is repeated the sure way: the worker
@@ -523,6 +530,14 @@
         gang_broken(job, attempt, now);
     }
 
+    machine.strays = Resources{};
+    for (const auto& task : machine.tasks) {
+        if (task.state == TaskState::exited) continue;
+        const auto* job = find(task.job);
+        if (job && !machine.held.contains({job->serial, task.index}))
+            machine.strays += job->spec.need;
+    }
+
     // Jobs that are over and nowhere any more leave memory.
     std::vector<Job*> leaving;
     for (const auto& key : held) {
@@ -598,11 +613,11 @@
 
 void Controller::stop_for_drain(Machine& machine, TimePoint now) {
     std::vector<std::pair<Job*, std::uint32_t>> unbind;
-    for (const auto& [serial, index] : machine.held) {
-        auto& job = *jobs_.at(serial);
-        auto& placement = job.placed.at(index);
+    for (const auto& [key, task] : machine.held) {
+        auto& job = *task.job;
+        auto& placement = *task.placement;
         if (placement.stage == Placement::Stage::bound) {
-            unbind.push_back({&job, index});
+            unbind.push_back({&job, key.second});
             continue;
         }
         if (placement.stopping) continue;
@@ -632,33 +647,32 @@
 void Controller::start_ready(Machine& machine, TimePoint now, bool direct,
                              std::vector<Order>& orders) {
     if (!usable(machine, now)) return;
-    std::vector<std::pair<Job*, std::uint32_t>> ready;
-    Resources taken;
-    for (const auto& [serial, index] : machine.held) {
-        auto& job = *jobs_.at(serial);
-        if (job.placed.at(index).stage == Placement::Stage::bound)
-            ready.push_back({&job, index});
+    struct Ready {
+        std::uint32_t index;
+        HeldTask task;
+    };
+    std::vector<Ready> ready;
+    Resources taken = machine.strays;
+    for (const auto& [key, task] : machine.held) {
+        if (task.placement->stage == Placement::Stage::bound)
+            ready.push_back({key.second, task});
         else
-            taken += job.spec.need;
+            taken += task.job->spec.need;
     }
     if (ready.empty()) return;
-    for (const auto& task : machine.tasks) {
-        if (task.state == TaskState::exited) continue;
-        const auto* job = find(task.job);
-        if (job && !machine.held.contains({job->serial, task.index})) taken += job->spec.need;
-    }
     // The ready list: the shortest-makespan pipeline's task first, ties to the longest RPM.
-    std::stable_sort(ready.begin(), ready.end(), [](const auto& a, const auto& b) {
-        const auto& x = a.first->placed.at(a.second);
-        const auto& y = b.first->placed.at(b.second);
+    std::stable_sort(ready.begin(), ready.end(), [](const Ready& a, const Ready& b) {
+        const auto& x = *a.task.placement;
+        const auto& y = *b.task.placement;
         if (x.rank != y.rank) return x.rank < y.rank;
         if (x.makespan != y.makespan) return x.makespan < y.makespan;
         return x.rpm > y.rpm;
     });
     const auto& size = types_[machine.type].size;
-    for (const auto& [job, index] : ready) {
+    for (const auto& [index, task] : ready) {
+        const auto* job = task.job;
         if (!(size - taken).holds(job->spec.need)) break;
-        auto& placement = job->placed.at(index);
+        auto& placement = *task.placement;
         taken += job->spec.need;
         placement.stage = Placement::Stage::ordered;
         placement.ordered_session = machine.session;
@@ -671,9 +685,10 @@
 }
 
 void Controller::lose(Machine& machine, TimePoint now) {
-    const auto held = machine.held;
-    for (const auto& [serial, index] : held) {
-        auto& job = *jobs_.at(serial);
+    std::vector<std::pair<Job*, std::uint32_t>> held;
+    for (const auto& [key, task] : machine.held) held.push_back({task.job, key.second});
+    for (const auto& [held_job, index] : held) {
+        auto& job = *held_job;
         const auto it = job.placed.find(index);
         if (it == job.placed.end()) continue;
         const auto attempt = it->second.attempt;
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -43,6 +43,18 @@
     Seconds demand_memory{60};
 };
 
+// A placement on a machine, with a short way to it: a machine's list is walked far more often
+// than it changes. Both live as long as the entry (`Controller::drop` removes them together).
+struct HeldTask {
+    Job* job = nullptr;
+    Placement* placement = nullptr;
+};
+
+struct CachedImage {
+    dsmf::ImageId id = 0;
+    double gb = 0;
+};
+
 struct Machine {
     std::string name;
     std::string address;
@@ -66,8 +78,9 @@
     TimePoint loaded_at{};
     std::optional<TimePoint> taken_at;  // spot notice: when the cloud takes it
     std::vector<ReportedTask> tasks;    // of the last report
-    std::set<std::pair<std::uint64_t, std::uint32_t>> held;  // placements: job serial, task
-    std::deque<std::pair<std::string, double>> images;       // most recently used last
+    std::map<std::pair<std::uint64_t, std::uint32_t>, HeldTask> held;  // by job serial, task
+    Resources strays;  // of tasks in the last report that are no placement of ours
+    std::vector<CachedImage> images;  // most recently used last
     std::set<std::string> failed_jobs;
     bool call_out = false;  // one direct call at a time
     TimePoint last_call{};
@@ -203,6 +216,7 @@
                    std::vector<Order>& orders);
     void task_exited(Machine& machine, Job& job, const ReportedTask& task, TimePoint now);
     void gang_broken(Job& job, std::uint64_t attempt, TimePoint now);
+    void hold(Machine& machine, Job& job, std::uint32_t index, const Placement& placement);
     void drop(Job& job, std::uint32_t index);
     void lose(Machine& machine, TimePoint now);
     void note_image(Machine& machine, const Job& job);
--- a/src/core/dsmf.cpp
+++ b/src/core/dsmf.cpp
@@ -28,83 +28,104 @@
 
 void take(Machine& machine, const EligibleJob& job) {
     Resources open = machine.free;
-    Resources missing = job.need;
     std::size_t used = 0;
-    while (!open.holds(missing) && used < machine.releases.size())
+    while (!open.holds(job.need) && used < machine.releases.size())
         open += machine.releases[used++].room;
     // Room that opens later is spent by this bind, so the releases that make it are folded in.
     machine.releases.erase(machine.releases.begin(),
                            machine.releases.begin() + static_cast<std::ptrdiff_t>(used));
     machine.free = open - job.need;
-    if (job.image.empty() || machine.images.contains(job.image)) return;
+    if (job.image == 0 || machine.image(job.image)) return;
     machine.fetch_queue = input_arrives(machine, job);
-    machine.images[job.image] = machine.fetch_queue;
+    machine.images.push_back({job.image, machine.fetch_queue});
 }
 
 struct Choice {
     std::size_t machine = 0;
     Seconds finish{0};
     Seconds opens{0};
+    double cost = 0;
+
+    // Earliest finish first; cheaper machines, then those named first, break ties.
+    bool after(const Choice& other) const {
+        if (finish != other.finish) return finish > other.finish;
+        if (cost != other.cost) return cost > other.cost;
+        return machine > other.machine;
+    }
 };
 
-std::optional<Choice> earliest_finish(const EligibleJob& job, const std::vector<Machine>& machines,
-                                      const std::vector<std::uint32_t>& in_zone, Seconds cycle) {
-    std::optional<Choice> best;
-    for (std::size_t m = 0; m < machines.size(); ++m) {
-        if (job.allowed && !job.allowed(m)) continue;
-        const auto& machine = machines[m];
+std::optional<Choice> choice_of(const EligibleJob& job, const std::vector<Machine>& machines,
+                                std::size_t m, Seconds cycle) {
+    const auto& machine = machines[m];
+    const auto opens = opens_in(machine, job.need);
+    if (opens > cycle) return std::nullopt;
+    return Choice{m, std::max(opens, input_arrives(machine, job)) + job.run / machine.speed,
+                  opens, machine.cost};
+}
+
+// Machines as they were before a trial changed them.
+using Originals = std::vector<std::pair<std::size_t, Machine>>;
+
+// Binds up to all tasks of a job, each to the machine that then finishes it the earliest. A bind
+// changes one machine only, so a heap of the candidates finds the next one without looking at all
+// machines again. Zones that are closed to a job stay closed, so a candidate there is dropped.
+std::vector<Choice> bind_tasks(const EligibleJob& job, std::vector<Machine>& machines,
+                               const std::vector<std::size_t>& open, Seconds cycle,
+                               std::optional<std::size_t> only_zone, Originals* originals) {
+    const auto later_one = [](const Choice& a, const Choice& b) { return a.after(b); };
+    std::vector<Choice> heap;
+    auto in_zone = job.in_zone;
+    for (const auto m : open) {
+        if (only_zone && machines[m].zone != *only_zone) continue;
+        if (!job.allows(machines[m], m)) continue;
+        if (const auto choice = choice_of(job, machines, m, cycle)) heap.push_back(*choice);
+    }
+    std::make_heap(heap.begin(), heap.end(), later_one);
+    std::vector<Choice> chosen;
+    while (chosen.size() < job.tasks && !heap.empty()) {
+        std::pop_heap(heap.begin(), heap.end(), later_one);
+        const auto choice = heap.back();
+        heap.pop_back();
+        auto& machine = machines[choice.machine];
         if (!zone_allows(job, in_zone, machine.zone) || !spread_allows(job, in_zone, machine.zone))
             continue;
-        const auto opens = opens_in(machine, job.need);
-        if (opens > cycle) continue;
-        const auto finish =
-            std::max(opens, input_arrives(machine, job)) + job.run / machine.speed;
-        const bool better =
-            !best || finish < best->finish ||
-            (finish == best->finish && machine.cost < machines[best->machine].cost);
-        if (better) best = Choice{m, finish, opens};
+        if (originals &&
+            std::none_of(originals->begin(), originals->end(),
+                         [&](const auto& kept) { return kept.first == choice.machine; }))
+            originals->push_back({choice.machine, machine});
+        take(machine, job);
+        ++in_zone[machine.zone];
+        chosen.push_back(choice);
+        if (const auto again = choice_of(job, machines, choice.machine, cycle)) {
+            heap.push_back(*again);
+            std::push_heap(heap.begin(), heap.end(), later_one);
+        }
     }
-    return best;
+    return chosen;
 }
 
 // Binds a gang whole or not at all. With `one_zone`, each zone is tried and the one whose last
 // task finishes first is taken.
-bool bind_gang(const EligibleJob& job, std::vector<Machine>& machines, Seconds cycle,
-               std::vector<Choice>& out) {
-    const std::size_t zones = job.in_zone.size();
+std::vector<Choice> bind_gang(const EligibleJob& job, std::vector<Machine>& machines,
+                              const std::vector<std::size_t>& open, Seconds cycle) {
     std::optional<Seconds> best_finish;
-    std::vector<Machine> best_machines;
     std::vector<Choice> best;
-    const std::size_t tries = job.one_zone ? zones : 1;
+    const std::size_t tries = job.one_zone ? job.in_zone.size() : 1;
     for (std::size_t only = 0; only < tries; ++only) {
-        auto in_zone = job.in_zone;
-        if (job.one_zone && !zone_allows(job, in_zone, only)) continue;
-        auto trial = machines;
-        EligibleJob one = job;
-        if (job.one_zone)
-            one.allowed = [&](std::size_t m) {
-                return machines[m].zone == only && (!job.allowed || job.allowed(m));
-            };
-        std::vector<Choice> chosen;
-        Seconds last{0};
-        for (std::uint32_t t = 0; t < job.tasks; ++t) {
-            const auto choice = earliest_finish(one, trial, in_zone, cycle);
-            if (!choice) break;
-            take(trial[choice->machine], job);
-            ++in_zone[trial[choice->machine].zone];
-            last = std::max(last, choice->finish);
-            chosen.push_back(*choice);
-        }
+        if (job.one_zone && !zone_allows(job, job.in_zone, only)) continue;
+        Originals originals;
+        auto chosen = bind_tasks(job, machines, open, cycle,
+                                 job.one_zone ? std::optional(only) : std::nullopt, &originals);
+        for (auto& [m, original] : originals) machines[m] = std::move(original);
         if (chosen.size() != job.tasks) continue;
+        Seconds last{0};
+        for (const auto& choice : chosen) last = std::max(last, choice.finish);
         if (best_finish && last >= *best_finish) continue;
         best_finish = last;
         best = std::move(chosen);
-        best_machines = std::move(trial);
     }
-    if (!best_finish) return false;
-    machines = std::move(best_machines);
-    out = std::move(best);
-    return true;
+    for (const auto& choice : best) take(machines[choice.machine], job);
+    return best;
 }
 
 // RPM of an eligible job: wait, input and run time on the best candidate, plus the path behind.
@@ -112,7 +133,7 @@
 Seconds rpm_of(const EligibleJob& job, const std::vector<Machine>& machines) {
     Seconds best = never;
     for (std::size_t m = 0; m < machines.size(); ++m) {
-        if (job.allowed && !job.allowed(m)) continue;
+        if (!job.allows(machines[m], m)) continue;
         best = std::min(best, finish_time(machines[m], job));
     }
     if (best == never) best = job.run;
@@ -159,8 +180,8 @@
 }
 
 Seconds input_arrives(const Machine& machine, const EligibleJob& job) {
-    if (const auto it = machine.images.find(job.image); it != machine.images.end())
-        return it->second;
+    if (job.image == 0) return Seconds{0};
+    if (const auto* arrival = machine.image(job.image)) return *arrival;
     return machine.fetch_queue + Seconds(job.image_gb / machine.fetch_gb_per_s);
 }
 
@@ -188,6 +209,15 @@
         return result.makespan[a] < result.makespan[b];
     });
 
+    // Only machines with some room within the cycle are looked at for binds: on a full day that
+    // is a few of hundreds.
+    std::vector<std::size_t> open;
+    for (std::size_t m = 0; m < machines.size(); ++m) {
+        const auto& machine = machines[m];
+        const bool soon = !machine.releases.empty() && machine.releases.front().in <= cycle;
+        if (soon || machine.free.cpus > 0 || machine.free.gpus > 0) open.push_back(m);
+    }
+
     for (const auto p : result.order) {
         const auto& pipeline = pipelines[p];
         std::vector<std::size_t> jobs(pipeline.eligible.size());
@@ -196,19 +226,9 @@
                          [&](std::size_t a, std::size_t b) { return rpm[p][a] > rpm[p][b]; });
         for (const auto j : jobs) {
             const auto& job = pipeline.eligible[j];
-            std::vector<Choice> chosen;
-            if (job.gang) {
-                if (!bind_gang(job, machines, cycle, chosen)) continue;
-            } else {
-                auto in_zone = job.in_zone;
-                for (std::uint32_t t = 0; t < job.tasks; ++t) {
-                    const auto choice = earliest_finish(job, machines, in_zone, cycle);
-                    if (!choice) break;
-                    take(machines[choice->machine], job);
-                    ++in_zone[machines[choice->machine].zone];
-                    chosen.push_back(*choice);
-                }
-            }
+            const auto chosen =
+                job.gang ? bind_gang(job, machines, open, cycle)
+                         : bind_tasks(job, machines, open, cycle, std::nullopt, nullptr);
             for (const auto& choice : chosen)
                 result.binds.push_back(Bind{p, job.job, choice.machine, choice.opens, rpm[p][j],
                                             result.makespan[p]});
--- a/src/core/dsmf.hpp
+++ b/src/core/dsmf.hpp
@@ -6,16 +6,24 @@
 // docs/design.md says what was kept and what was changed.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <functional>
 #include <string>
-#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "core/types.hpp"
 
 namespace bendspindle::core::dsmf {
 
+// Images are compared by a digest of their name: a cycle compares thousands of them, and a
+// collision would only make an estimate wrong. 0 stands for no image.
+using ImageId = std::size_t;
+inline ImageId image_id(const std::string& name) {
+    return name.empty() ? 0 : std::max<ImageId>(std::hash<std::string>{}(name), 1);
+}
+
 // One machine as the placing cycle sees it. Changed by `place` as tasks are bound to it.
 struct Machine {
     struct Release {
@@ -25,11 +33,18 @@
     Resources free;
     std::vector<Release> releases;  // running tasks, by the time until they are expected to end
     Seconds fetch_queue{0};         // images this machine is still fetching
-    std::unordered_map<std::string, Seconds> images;  // cached (0) or on its way, by arrival
+    std::vector<std::pair<ImageId, Seconds>> images;  // cached (0) or on its way, by arrival
     double fetch_gb_per_s = 1;
     double speed = 1;  // relative to the fleet
     double cost = 0;   // breaks ties of finish time: cheaper first
     std::size_t zone = 0;
+    std::size_t group = 0;  // machines of one type, zone and kind
+
+    const Seconds* image(ImageId id) const {
+        for (const auto& [known, arrival] : images)
+            if (known == id) return &arrival;
+        return nullptr;
+    }
 };
 
 // One eligible job of a pipeline; its tasks share its RPM.
@@ -43,11 +58,17 @@
     // Tasks of this job already on machines, per zone, attempts of the past included.
     std::vector<std::uint32_t> in_zone;
     Resources need;
-    std::string image;
+    ImageId image = 0;
     double image_gb = 0;
     Seconds run{0};        // expected run time of a task at fleet averages
     Seconds rest_after{0}; // longest expected path from this job's end to the pipeline's end
-    std::function<bool(std::size_t machine)> allowed;
+    std::vector<bool> groups;         // allowed groups of machines; empty: all
+    std::vector<std::size_t> barred;  // machines on which it failed
+
+    bool allows(const Machine& machine, std::size_t index) const {
+        if (!groups.empty() && !groups[machine.group]) return false;
+        return barred.empty() || std::find(barred.begin(), barred.end(), index) == barred.end();
+    }
 };
 
 struct Pipeline {
--- a/src/core/job.cpp
+++ b/src/core/job.cpp
@@ -4,11 +4,15 @@
 
 namespace bendspindle::core {
 
-std::size_t Job::placed_not_done() const {
-    std::size_t n = 0;
-    for (const auto& [index, placement] : placed)
-        if (phase[index] == TaskPhase::placed) ++n;
-    return n;
+void Job::set_phase(std::uint32_t index, TaskPhase to) {
+    const auto finished_phase = [](TaskPhase p) {
+        return p == TaskPhase::done || p == TaskPhase::durable;
+    };
+    const auto from = phase[index];
+    if (finished_phase(to) && !finished_phase(from)) ++finished;
+    if (from == TaskPhase::placed && to != TaskPhase::placed) --placed_open;
+    if (from != TaskPhase::placed && to == TaskPhase::placed) ++placed_open;
+    phase[index] = to;
 }
 
 std::uint32_t Job::next_idle() {
@@ -30,11 +34,7 @@
 
 void mark_done(Job& job, const std::vector<Range>& ranges, TaskPhase as) {
     for (const auto& [first, last] : ranges)
-        for (std::uint32_t i = first; i <= last && i < job.phase.size(); ++i) {
-            if (job.phase[i] != TaskPhase::done && job.phase[i] != TaskPhase::durable)
-                ++job.finished;
-            job.phase[i] = as;
-        }
+        for (std::uint32_t i = first; i <= last && i < job.phase.size(); ++i) job.set_phase(i, as);
 }
 
 JobRecord to_record(const Job& job, const std::string& home) {
--- a/src/core/job.hpp
+++ b/src/core/job.hpp
@@ -70,7 +70,9 @@
     std::uint64_t last_attempt = 0;
     std::vector<TaskPhase> phase;
     std::map<std::uint32_t, Placement> placed;
-    std::uint32_t finished = 0;  // done or durable
+    std::uint32_t finished = 0;     // done or durable
+    std::uint32_t placed_open = 0;  // tasks whose phase is `placed`
+    std::size_t image = 0;          // dsmf::image_id of the spec's image
     std::uint32_t first_idle = 0;
     // Errors speak against the job only when several machines agree.
     std::uint32_t errors = 0;
@@ -84,10 +86,8 @@
     Seconds run_mean{0};  // of this job's own tasks, once some have completed
     std::uint32_t run_count = 0;
 
-    std::uint32_t idle_count() const {
-        return spec.tasks - finished - static_cast<std::uint32_t>(placed_not_done());
-    }
-    std::size_t placed_not_done() const;
+    std::uint32_t idle_count() const { return spec.tasks - finished - placed_open; }
+    void set_phase(std::uint32_t index, TaskPhase to);
     bool over() const { return final != Final::none; }
     std::uint32_t next_idle();
 };
--- a/src/core/placing.cpp
+++ b/src/core/placing.cpp
@@ -103,21 +103,23 @@
     view.cost = machine.spot ? type.spot_price : type.price;
     const auto zone = std::find(config_.zones.begin(), config_.zones.end(), machine.zone);
     view.zone = static_cast<std::size_t>(zone - config_.zones.begin());
-    for (const auto& [name, gb] : machine.images) view.images[name] = Seconds{0};
-    for (const auto& [serial, index] : machine.held) {
-        const auto& job = *jobs_.at(serial);
-        const auto& placement = job.placed.at(index);
+    view.group = (machine.type * config_.zones.size() + view.zone) * 2 + (machine.spot ? 1 : 0);
+    view.images.reserve(machine.images.size() + 2);
+    for (const auto& entry : machine.images) view.images.push_back({entry.id, Seconds{0}});
+    for (const auto& [key, task] : machine.held) {
+        const auto& job = *task.job;
+        const auto& placement = *task.placement;
         if (placement.stage == Placement::Stage::bound) continue;
         if (placement.stopping) {
             view.releases.push_back({job.spec.save_time, job.spec.need});
         } else {
             view.releases.push_back({remaining(job, placement, now), job.spec.need});
         }
-        if (placement.state == TaskState::fetching && !view.images.contains(job.spec.image)) {
+        if (placement.state == TaskState::fetching && job.image != 0 && !view.image(job.image)) {
             const Seconds whole{job.spec.image_gb / view.fetch_gb_per_s};
             const auto left = std::max(whole - between(placement.since, now), Seconds{0.5});
             view.fetch_queue += left;
-            view.images[job.spec.image] = view.fetch_queue;
+            view.images.push_back({job.image, view.fetch_queue});
         }
     }
     std::sort(view.releases.begin(), view.releases.end(),
@@ -135,9 +137,8 @@
     placement.makespan = makespan;
     placement.rpm = rpm;
     job.last_attempt = std::max(job.last_attempt, attempt);
-    job.placed[index] = placement;
-    job.phase[index] = TaskPhase::placed;
-    machine.held.insert({job.serial, index});
+    job.set_phase(index, TaskPhase::placed);
+    hold(machine, job, index, placement);
     machine.idle_since = now;
 }
 
@@ -161,8 +162,8 @@
             machine.releasing = true;  // never came up
         if (machine.failing && machine.held.empty()) machine.releasing = true;
         // Guard against ran_cancelled: what cannot be reached must be gone in time.
-        for (const auto& [serial, index] : machine.held) {
-            const auto& job = *jobs_.at(serial);
+        for (const auto& [key, task] : machine.held) {
+            const auto& job = *task.job;
             if (job.final != Final::cancelled) continue;
             const auto since = between(job.cancelled_at, now);
             if (since > config_.workers.cancel * 0.6 && job.cancelled_at != TimePoint{})
@@ -217,14 +218,16 @@
                 ++eligible.in_zone[static_cast<std::size_t>(z - config_.zones.begin())];
         }
         eligible.need = job->spec.need;
-        eligible.image = job->spec.image;
+        eligible.image = job->image;
         eligible.image_gb = job->spec.image_gb;
         eligible.run = expected_run(*job);
-        eligible.allowed = [this, job = job.get(), &machines](std::size_t m) {
-            return allowed(job->spec, *machines[m]) &&
-                   !(job->errors > 0 && machines[m]->failed_jobs.contains(job->spec.id) &&
-                     machines.size() > 1);
-        };
+        for (const auto& type : types_)
+            for (const auto& zone : config_.zones)
+                for (const bool spot : {false, true})
+                    eligible.groups.push_back(allowed(job->spec, type.name, zone, spot));
+        if (job->errors > 0 && machines.size() > 1)
+            for (std::size_t m = 0; m < machines.size(); ++m)
+                if (machines[m]->failed_jobs.contains(job->spec.id)) eligible.barred.push_back(m);
         dsmf::Pipeline pipeline;
         pipeline.rank = rank_of(*job, standing);
         pipeline.eligible.push_back(std::move(eligible));
@@ -270,79 +273,119 @@
         std::vector<Victim> victims;
         double cost = std::numeric_limits<double>::max();
     };
+    // What might be stopped, told apart as `may_stop` does. On most cycles nobody waiting may
+    // stop any of it, and no machine needs to be looked at.
+    struct Stoppable {
+        Priority priority;
+        bool guaranteed;
+        std::string team;
+        auto operator<=>(const Stoppable&) const = default;
+    };
+    std::set<Stoppable> stoppable;
+    std::vector<Machine*> candidates;
+    for (auto& [name, machine] : machines_) {
+        if (!usable(machine, now)) continue;
+        bool some = false;
+        for (const auto& [key, task] : machine.held) {
+            if (task.placement->stage == Placement::Stage::bound || task.placement->stopping)
+                continue;
+            some = true;
+            stoppable.insert({task.job->spec.priority,
+                              standing.guaranteed.contains(key.first), task.job->spec.team});
+        }
+        if (some) candidates.push_back(&machine);
+    }
     for (auto* job : waiting) {
         const bool guaranteed = standing.guaranteed.contains(job->serial);
         if (job->spec.priority == Priority::low && !guaranteed) continue;
         const bool gang = job->spec.kind == Kind::gang;
         if (gang && job->spec.tasks > 1 && job->spec.spread) continue;
-        const auto may_stop = [&](const Job& other) {
-            const bool other_guaranteed = standing.guaranteed.contains(other.serial);
+        const auto may_stop = [&](Priority priority, bool other_guaranteed,
+                                  const std::string& team) {
             // Guard against two jobs that stop each other in turn: what a guarantee has taken
             // back is not taken again by a borrower's priority.
             if (other_guaranteed && !guaranteed) return false;
-            if (other.spec.priority < job->spec.priority) return true;
-            return guaranteed && !other_guaranteed && other.spec.team != job->spec.team;
+            if (priority < job->spec.priority) return true;
+            return guaranteed && !other_guaranteed && team != job->spec.team;
         };
+        if (std::none_of(stoppable.begin(), stoppable.end(), [&](const Stoppable& other) {
+                return may_stop(other.priority, other.guaranteed, other.team);
+            }))
+            continue;
         std::uint32_t want = std::min(job->idle_count(), room_in_limit(*job, standing));
         if (gang && want < job->spec.tasks) continue;
         if (!gang) want = std::min(want, array_preempts_a_cycle);
 
-        std::vector<Plan> plans;
         std::set<std::pair<std::uint64_t, std::uint32_t>> spoken_for;
         std::optional<std::string> zone;
         if (job->spec.one_zone)
             for (const auto& [index, placement] : job->placed)
                 zone = machines_.at(placement.machine).zone;
-        std::map<std::string, Resources> planned;
-        while (plans.size() < want) {
-            Plan best;
-            for (auto& [name, machine] : machines_) {
-                if (!usable(machine, now) || !allowed(job->spec, machine)) continue;
-                if (zone && machine.zone != *zone) continue;
-                const auto view = view_of(machine, now);
-                // Room that opens about as soon as a save would take is worth waiting for.
-                Plan plan{&machine, {}, 0};
-                Resources free = types_[machine.type].size - used(machine);
-                if (const auto it = planned.find(name); it != planned.end()) free -= it->second;
-                std::vector<Victim> candidates;
-                for (const auto& [serial, index] : machine.held) {
-                    auto& other = *jobs_.at(serial);
-                    const auto& placement = other.placed.at(index);
-                    if (placement.stage == Placement::Stage::bound) continue;
-                    if (spoken_for.contains({serial, index})) continue;
-                    if (placement.stopping) continue;
-                    if (!may_stop(other)) continue;
-                    const auto ran = placement.state == TaskState::running
-                                         ? between(placement.running_from, now)
-                                         : Seconds{0};
-                    const bool saves = other.spec.checkpoint > Seconds{0};
-                    double cost = saves ? other.spec.save_time.count() : ran.count();
-                    cost += 10.0 * static_cast<int>(other.spec.priority);
-                    if (other.spec.kind == Kind::gang) cost *= other.spec.tasks;
-                    candidates.push_back({&other, index, cost * (1 + other.spec.need.gpus)});
-                }
-                std::sort(candidates.begin(), candidates.end(),
-                          [](const Victim& a, const Victim& b) { return a.cost < b.cost; });
-                for (const auto& candidate : candidates) {
-                    if (free.holds(job->spec.need)) break;
-                    free += candidate.job->spec.need;
-                    plan.cost += candidate.cost;
-                    plan.victims.push_back(candidate);
-                }
-                if (!free.holds(job->spec.need) || plan.victims.empty()) continue;
-                const bool cached = view.images.contains(job->spec.image);
-                if (!cached)
-                    plan.cost += job->spec.image_gb / view.fetch_gb_per_s * job->spec.need.gpus;
-                if (plan.cost < best.cost) best = std::move(plan);
+        std::map<const Machine*, Resources> planned;
+        const auto plan_on = [&](Machine& machine) -> std::optional<Plan> {
+            Plan plan{&machine, {}, 0};
+            Resources free = types_[machine.type].size - used(machine);
+            if (const auto it = planned.find(&machine); it != planned.end()) free -= it->second;
+            std::vector<Victim> victims;
+            for (const auto& [key, task] : machine.held) {
+                auto& other = *task.job;
+                const auto& placement = *task.placement;
+                if (placement.stage == Placement::Stage::bound || placement.stopping) continue;
+                if (spoken_for.contains(key)) continue;
+                if (!may_stop(other.spec.priority, standing.guaranteed.contains(key.first),
+                              other.spec.team))
+                    continue;
+                const auto ran = placement.state == TaskState::running
+                                     ? between(placement.running_from, now)
+                                     : Seconds{0};
+                const bool saves = other.spec.checkpoint > Seconds{0};
+                double cost = saves ? other.spec.save_time.count() : ran.count();
+                cost += 10.0 * static_cast<int>(other.spec.priority);
+                if (other.spec.kind == Kind::gang) cost *= other.spec.tasks;
+                victims.push_back({&other, key.second, cost * (1 + other.spec.need.gpus)});
             }
-            if (!best.machine) break;
+            std::sort(victims.begin(), victims.end(),
+                      [](const Victim& a, const Victim& b) { return a.cost < b.cost; });
+            for (const auto& victim : victims) {
+                if (free.holds(job->spec.need)) break;
+                free += victim.job->spec.need;
+                plan.cost += victim.cost;
+                plan.victims.push_back(victim);
+            }
+            if (!free.holds(job->spec.need) || plan.victims.empty()) return std::nullopt;
+            const bool cached =
+                std::any_of(machine.images.begin(), machine.images.end(),
+                            [&](const CachedImage& entry) { return entry.id == job->image; });
+            const auto rate = std::max(types_[machine.type].fetch_gb_per_s, 1e-3);
+            if (!cached) plan.cost += job->spec.image_gb / rate * job->spec.need.gpus;
+            return plan;
+        };
+        // The cheapest plan first; only the plan of the machine just taken changes by that.
+        const auto dearer = [](const Plan& a, const Plan& b) { return a.cost > b.cost; };
+        std::vector<Plan> heap;
+        for (auto* machine : candidates) {
+            if (!allowed(job->spec, *machine) || (zone && machine->zone != *zone)) continue;
+            if (auto plan = plan_on(*machine)) heap.push_back(std::move(*plan));
+        }
+        std::make_heap(heap.begin(), heap.end(), dearer);
+        std::vector<Plan> plans;
+        while (plans.size() < want && !heap.empty()) {
+            std::pop_heap(heap.begin(), heap.end(), dearer);
+            auto best = std::move(heap.back());
+            heap.pop_back();
+            auto& machine = *best.machine;
+            if (zone && machine.zone != *zone) continue;
             for (const auto& victim : best.victims) {
                 spoken_for.insert({victim.job->serial, victim.index});
-                planned[best.machine->name] -= victim.job->spec.need;
+                planned[&machine] -= victim.job->spec.need;
             }
-            planned[best.machine->name] += job->spec.need;
-            if (job->spec.one_zone) zone = best.machine->zone;
+            planned[&machine] += job->spec.need;
+            if (job->spec.one_zone) zone = machine.zone;
             plans.push_back(std::move(best));
+            if (auto again = plan_on(machine)) {
+                heap.push_back(std::move(*again));
+                std::push_heap(heap.begin(), heap.end(), dearer);
+            }
         }
         if (plans.empty() || (gang && plans.size() < want)) continue;
 
--- a/src/core/renting.cpp
+++ b/src/core/renting.cpp
@@ -180,10 +180,33 @@
         return a.rank < b.rank;
     });
 
+    // Machines of one type, zone and kind are one pool: what is decided for a pool is decided once.
+    struct Pool {
+        PoolKey key;
+        std::size_t type = 0;
+        bool refused = false;
+        std::uint32_t have = 0;
+        std::uint32_t to_rent = 0;
+    };
+    std::vector<Pool> pools;
+    std::map<PoolKey, std::size_t> pool_index;
+    const auto pool_of = [&](const std::string& zone, std::size_t type, bool spot) {
+        const PoolKey key{types_[type].name, zone, spot};
+        const auto [it, fresh] = pool_index.try_emplace(key, pools.size());
+        if (fresh) {
+            const auto pause = no_capacity_until_.find(key);
+            const bool refused = pause != no_capacity_until_.end() && pause->second > now;
+            pools.push_back({key, type, refused, 0, 0});
+        }
+        return it->second;
+    };
+    for (std::size_t t = 0; t < types_.size(); ++t)
+        for (const auto& z : types_[t].zones)
+            for (const bool spot : {true, false}) pool_of(z, t, spot);
+
     struct Bin {
         const Machine* machine = nullptr;  // null: to be rented
-        PoolKey pool;
-        std::size_t type = 0;
+        std::size_t pool = 0;
         Resources free;
         bool used = false;
     };
@@ -191,100 +214,93 @@
     for (const auto& [name, machine] : machines_) {
         if (machine.draining() || !machine.type_known) continue;
         if (machine.reported && between(machine.last_report, now) > config_.workers.lease) continue;
-        bins.push_back({&machine, {machine.type_name, machine.zone, machine.spot}, machine.type,
-                        types_[machine.type].size, false});
+        const auto pool = pool_of(machine.zone, machine.type, machine.spot);
+        ++pools[pool].have;
+        bins.push_back({&machine, pool, types_[machine.type].size, false});
     }
 
     // The price of one task on a machine of this kind, with what the task leaves unused of it.
-    const auto price_a_task = [&](const JobSpec& spec, std::size_t type, bool spot) {
-        const auto& t = types_[type];
+    const auto price_a_task = [&](const JobSpec& spec, const Pool& pool) {
+        const auto& t = types_[pool.type];
         double fit = std::numeric_limits<double>::max();
         if (spec.need.cpus > 0) fit = std::min(fit, std::floor(t.size.cpus / spec.need.cpus));
         if (spec.need.gpus > 0) fit = std::min(fit, std::floor(t.size.gpus / spec.need.gpus));
         if (spec.need.memory_gb > 0)
             fit = std::min(fit, std::floor(t.size.memory_gb / spec.need.memory_gb));
-        return (spot ? t.spot_price : t.price) / std::max(fit, 1.0);
+        return (pool.key.spot ? t.spot_price : t.price) / std::max(fit, 1.0);
     };
 
-    std::map<PoolKey, std::uint32_t> to_rent;
     for (const auto& want : wants) {
         const auto& spec = *want.spec;
         std::optional<std::string> zone = spec.zone;
         const bool together = spec.one_zone && spec.kind == Kind::gang && spec.tasks > 1;
-        std::vector<std::size_t> order(bins.size());
-        for (std::size_t i = 0; i < order.size(); ++i) order[i] = i;
-        std::vector<double> price(bins.size());
-        const auto price_of = [&](std::size_t b) {
-            return price_a_task(spec, bins[b].type, bins[b].pool.spot);
-        };
-        for (std::size_t i = 0; i < bins.size(); ++i) price[i] = price_of(i);
+        std::vector<double> price(pools.size());
+        std::vector<bool> may_use(pools.size());
+        for (std::size_t p = 0; p < pools.size(); ++p) {
+            const auto& key = pools[p].key;
+            price[p] = price_a_task(spec, pools[p]);
+            may_use[p] = allowed(spec, key.type, key.zone, key.spot);
+        }
+        std::vector<std::size_t> order;
+        for (std::size_t b = 0; b < bins.size(); ++b)
+            if (may_use[bins[b].pool] && bins[b].free.holds(spec.need)) order.push_back(b);
         std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
-            if (bins[a].used != bins[b].used && price[a] == price[b]) return bins[a].used;
-            return price[a] < price[b];
+            const auto price_a = price[bins[a].pool];
+            const auto price_b = price[bins[b].pool];
+            if (price_a != price_b) return price_a < price_b;
+            return bins[a].used && !bins[b].used;
         });
         std::uint32_t left = want.tasks;
         for (const auto b : order) {
+            if (left == 0) break;
             auto& bin = bins[b];
-            while (left > 0 && bin.free.holds(spec.need) &&
-                   allowed(spec, bin.pool.type, bin.pool.zone, bin.pool.spot) &&
-                   !(together && zone && *zone != bin.pool.zone)) {
+            const auto& bin_zone = pools[bin.pool].key.zone;
+            if (together && zone && *zone != bin_zone) continue;
+            while (left > 0 && bin.free.holds(spec.need)) {
                 bin.free -= spec.need;
                 bin.used = true;
                 --left;
-                if (together) zone = bin.pool.zone;
+                if (together) zone = bin_zone;
             }
-            if (left == 0) break;
         }
         while (left > 0) {
             // Rent the kind that runs one task for the least, of those not refused lately.
-            std::optional<PoolKey> best;
-            std::size_t best_type = 0;
-            double best_price = std::numeric_limits<double>::max();
-            std::uint32_t best_have = 0;
-            for (std::size_t t = 0; t < types_.size(); ++t) {
-                if (!types_[t].size.holds(spec.need)) continue;
-                for (const auto& z : types_[t].zones)
-                    for (const bool spot : {true, false}) {
-                        if (!allowed(spec, types_[t].name, z, spot)) continue;
-                        // Ordinary machines are not kept ahead of work that spot ones can do.
-                        if (want.expected && spec.spot && !spot) continue;
-                        if (together && zone && *zone != z) continue;
-                        const PoolKey pool{types_[t].name, z, spot};
-                        const auto pause = no_capacity_until_.find(pool);
-                        if (pause != no_capacity_until_.end() && pause->second > now) continue;
-                        const double cost = price_a_task(spec, t, spot);
-                        std::uint32_t have = 0;
-                        for (const auto& bin : bins)
-                            if (bin.pool == pool) ++have;
-                        if (cost < best_price || (cost == best_price && have < best_have)) {
-                            best = pool;
-                            best_type = t;
-                            best_price = cost;
-                            best_have = have;
-                        }
-                    }
+            std::optional<std::size_t> best;
+            for (std::size_t p = 0; p < pools.size(); ++p) {
+                const auto& pool = pools[p];
+                if (pool.refused || !may_use[p] || !types_[pool.type].size.holds(spec.need))
+                    continue;
+                // Ordinary machines are not kept ahead of work that spot ones can do.
+                if (want.expected && spec.spot && !pool.key.spot) continue;
+                if (together && zone && *zone != pool.key.zone) continue;
+                if (!best || price[p] < price[*best] ||
+                    (price[p] == price[*best] && pool.have < pools[*best].have))
+                    best = p;
             }
             if (!best) break;
-            ++to_rent[*best];
-            Bin bin{nullptr, *best, best_type, types_[best_type].size, true};
+            auto& pool = pools[*best];
+            ++pool.to_rent;
+            ++pool.have;
+            Bin bin{nullptr, *best, types_[pool.type].size, true};
             while (left > 0 && bin.free.holds(spec.need)) {
                 bin.free -= spec.need;
                 --left;
             }
-            if (together) zone = best->zone;
+            if (together) zone = pool.key.zone;
             bins.push_back(bin);
-            if (to_rent[*best] >= most_a_request) break;
+            if (pool.to_rent >= most_a_request) break;
         }
     }
 
-    for (const auto& [pool, count] : to_rent) {
+    for (const auto& pool : pools) {
+        if (pool.to_rent == 0) continue;
         RentRequest request;
         // The epoch makes the name unique: it is never used by another steward.
         request.request = "r-" + std::to_string(epoch_) + "-" + std::to_string(++next_request_);
-        request.type = pool.type;
-        request.zone = pool.zone;
-        request.spot = pool.spot;
-        request.count = std::min(count, most_a_request);
+        request.type = pool.key.type;
+        request.zone = pool.key.zone;
+        request.spot = pool.key.spot;
+        request.count = std::min(pool.to_rent, most_a_request);
         plan.rent.push_back(request);
     }
 
--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -129,6 +129,8 @@
     TaskState state = TaskState::fetching;
     ExitCause cause = ExitCause::none;
     bool saved = false;
+
+    bool operator==(const ReportedTask&) const = default;
 };
 
 struct Report {
--- a/tests/dsmf_test.cpp
+++ b/tests/dsmf_test.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <optional>
+#include <random>
+
 namespace bendspindle::core::dsmf {
 namespace {
 
@@ -56,12 +59,12 @@
 TEST(Dsmf, EarliestFinishCountsInputAndSpeed) {
     std::vector<Pipeline> pipelines(1);
     auto j = job(0, 10);
-    j.image = "img";
+    j.image = image_id("img");
     j.image_gb = 30;
     pipelines[0].eligible = {j};
     std::vector<Machine> machines{machine(8), machine(8)};
     machines[0].speed = 1.1;
-    machines[1].images["img"] = Seconds(0);
+    machines[1].images = {{image_id("img"), Seconds(0)}};
     const auto result = place(pipelines, machines, Seconds(2));
     ASSERT_EQ(result.binds.size(), 1U);
     EXPECT_EQ(result.binds[0].machine, 1U);
@@ -80,7 +83,7 @@
 TEST(Dsmf, FetchTimeCountsForFinishNotForTheRoomTest) {
     std::vector<Pipeline> pipelines(1);
     auto j = job(0, 10);
-    j.image = "img";
+    j.image = image_id("img");
     j.image_gb = 100;
     pipelines[0].eligible = {j};
     std::vector<Machine> machines{machine(1)};
@@ -125,5 +128,109 @@
     EXPECT_EQ(place(pipelines, machines, Seconds(2)).binds.size(), 3U);
 }
 
+// DSMF in its plain form: every task looks at every machine, and a gang tries on copies.
+struct Plain {
+    std::vector<Machine>& machines;
+    Seconds cycle;
+
+    std::optional<std::size_t> pick(const EligibleJob& job, std::optional<std::size_t> zone) const {
+        std::optional<std::size_t> best;
+        Seconds best_finish{0};
+        for (std::size_t m = 0; m < machines.size(); ++m) {
+            if (!job.allows(machines[m], m) || (zone && machines[m].zone != *zone)) continue;
+            if (opens_in(machines[m], job.need) > cycle) continue;
+            const auto finish = finish_time(machines[m], job);
+            if (best && (finish > best_finish ||
+                         (finish == best_finish && machines[m].cost >= machines[*best].cost)))
+                continue;
+            best = m;
+            best_finish = finish;
+        }
+        return best;
+    }
+    // The room is taken the way `place` does it, by placing this one task on this one machine.
+    Seconds take(const EligibleJob& job, std::size_t m) {
+        const auto finish = finish_time(machines[m], job);
+        auto one = job;
+        one.tasks = 1;
+        one.gang = one.one_zone = false;
+        one.barred.clear();
+        std::vector<Machine> alone{machines[m]};
+        place({Pipeline{0, {one}}}, alone, cycle);
+        machines[m] = alone[0];
+        return finish;
+    }
+    std::vector<std::size_t> bind(const EligibleJob& job) {
+        std::vector<std::size_t> best;
+        std::optional<Seconds> best_last;
+        std::vector<Machine> best_machines = machines;
+        const auto before = machines;
+        const std::size_t tries = job.gang && job.one_zone ? job.in_zone.size() : 1;
+        for (std::size_t z = 0; z < tries; ++z) {
+            machines = before;
+            std::vector<std::size_t> chosen;
+            Seconds last{0};
+            while (chosen.size() < job.tasks) {
+                const auto m = pick(job, tries > 1 ? std::optional(z) : std::nullopt);
+                if (!m) break;
+                last = std::max(last, take(job, *m));
+                chosen.push_back(*m);
+            }
+            if (job.gang && (chosen.size() != job.tasks || (best_last && last >= *best_last)))
+                continue;
+            best_last = last;
+            best = chosen;
+            best_machines = machines;
+        }
+        machines = best_machines;
+        return best;
+    }
+};
+
+// Hundreds of machines are placed on without looking at all of them for each task; the decisions
+// stay those of the plain form.
+TEST(Dsmf, DecidesAsThePlainFormDoes) {
+    std::mt19937 random(7);
+    const auto upto = [&](int n) { return std::uniform_int_distribution<int>(0, n)(random); };
+    for (int round = 0; round < 60; ++round) {
+        std::vector<Machine> machines;
+        for (int i = 0, n = 3 + upto(37); i < n; ++i) {
+            auto m = machine(upto(8));
+            m.zone = static_cast<std::size_t>(upto(2));
+            m.group = m.zone;
+            m.cost = upto(2);
+            m.fetch_gb_per_s = 0.5;
+            m.releases = {{Seconds(upto(3)), {1.0 + upto(3), 0, 4}}};
+            if (upto(1)) m.images = {{image_id("img" + std::to_string(upto(3))), Seconds(upto(4))}};
+            machines.push_back(m);
+        }
+        std::vector<Pipeline> pipelines;
+        for (std::size_t i = 0, n = 1 + static_cast<std::size_t>(upto(9)); i < n; ++i) {
+            auto j = job(i, 5 + upto(50), 0, 1 + static_cast<std::uint32_t>(upto(11)));
+            j.need = {1.0 + upto(2), 0, 1};
+            j.gang = upto(1) == 1;
+            j.one_zone = j.gang && upto(1) == 1;
+            j.in_zone = {0, 0, 0};
+            j.image = image_id("img" + std::to_string(upto(3)));
+            j.image_gb = 1 + upto(5);
+            j.groups = {true, upto(3) > 0, upto(3) > 0};
+            if (upto(3) == 0) j.barred = {0, 2};
+            pipelines.push_back({upto(1), {j}});
+        }
+        auto for_plain = machines;
+        const auto result = place(pipelines, machines, Seconds(2));
+        Plain plain{for_plain, Seconds(2)};
+        std::size_t at = 0;
+        for (const auto p : result.order)
+            for (const auto expected : plain.bind(pipelines[p].eligible[0])) {
+                ASSERT_LT(at, result.binds.size());
+                EXPECT_EQ(result.binds[at].pipeline, p);
+                EXPECT_EQ(result.binds[at].machine, expected) << "round " << round;
+                ++at;
+            }
+        EXPECT_EQ(at, result.binds.size());
+    }
+}
+
 }  // namespace
 }  // namespace bendspindle::core::dsmf
