A job that another controller has accepted already is answered with 200

Cause: the acting controller took a repeated submission for a new one until its write met the record of the controller that had accepted it. The process test shows it.

--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -261,7 +261,7 @@
     });
     if (office_.controller)
         if (const auto status = office_.controller->status(id))
-            return {fresh ? 201 : 200, 0, wire::status_body(id, *status, false)};
+            return {fresh && !office_.controller->found(id) ? 201 : 200, 0, wire::status_body(id, *status, false)};
     lock.unlock();
     // Over already, or the write has not come through: the cache or the user's retry tells.
     if (auto reply = from_final(id, false)) return *reply;
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -166,6 +166,11 @@
     return job && job->durable;
 }
 
+bool Controller::found(const std::string& id) const {
+    const auto* job = find(id);
+    return job && job->found;
+}
+
 std::optional<JobStatus> Controller::status(const std::string& id) const {
     const auto* job = find(id);
     if (!job || !job->durable) return std::nullopt;
@@ -868,7 +873,7 @@
             dropping_[id] = stamp;
     } else if (auto* job = find(id)) {
         job->stamp = stamp;
-        if (stamp != 0) job->durable = true;
+        if (stamp != 0 && !job->durable) job->durable = job->found = true;
     }
 }
 
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -159,6 +159,8 @@
     bool accept(const JobSpec& spec, WallTime submitted, TimePoint now);
     std::optional<JobStatus> status(const std::string& id) const;
     bool durable(const std::string& id) const;
+    // Whether its acceptance here met a record that was there before.
+    bool found(const std::string& id) const;
     // Marks a job as cancelled; its record is written next. False: it is done already or unknown.
     bool cancel(const std::string& id, TimePoint now);
     // The write of a job's first record found that the job exists or was over already.
--- a/src/core/job.hpp
+++ b/src/core/job.hpp
@@ -67,6 +67,7 @@
     Final final = Final::none;
     bool final_durable = false;
     bool durable = false;
+    bool found = false;  // its first record turned out to be written already, by another controller
     std::uint64_t last_attempt = 0;
     std::vector<TaskPhase> phase;
     std::map<std::uint32_t, Placement> placed;
