--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -105,6 +105,19 @@
     return machine.type_known && allowed(spec, machine.type_name, machine.zone, machine.spot);
 }
 
+// Guard against idle GPUs at a high price: when everything else was taken, GPU machines were rented
+// for tasks that need none, and GPU work waited or had to stop those. Such tasks use GPU machines
+// only if no other type can run them.
+bool Controller::suits(const JobSpec& spec, const MachineType& type) const {
+    if (spec.need.gpus > 0 || type.size.gpus <= 0) return true;
+    return std::none_of(types_.begin(), types_.end(), [&](const MachineType& other) {
+        return other.size.gpus <= 0 && other.size.holds(spec.need) &&
+               std::any_of(other.zones.begin(), other.zones.end(), [&](const std::string& zone) {
+                   return allowed(spec, other.name, zone, false);
+               });
+    });
+}
+
 Verdict Controller::check(const JobSpec& spec) const {
     return judge(spec, config_.teams, types_);
 }
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -238,6 +238,8 @@
     bool allowed(const JobSpec& spec, const Machine& machine) const;
     bool allowed(const JobSpec& spec, const std::string& type, const std::string& zone,
                  bool spot) const;
+    // Whether machines of a type are for such work, among those that it is allowed on.
+    bool suits(const JobSpec& spec, const MachineType& type) const;
     // Could this job have tasks on machines that are not confirmed yet?
     bool in_doubt(const Job& job) const;
     Seconds expected_run(const Job& job) const;
--- a/src/core/renting.cpp
+++ b/src/core/renting.cpp
@@ -239,7 +239,8 @@
         for (std::size_t p = 0; p < pools.size(); ++p) {
             const auto& key = pools[p].key;
             price[p] = price_a_task(spec, pools[p]);
-            may_use[p] = allowed(spec, key.type, key.zone, key.spot);
+            may_use[p] = allowed(spec, key.type, key.zone, key.spot) &&
+                         suits(spec, types_[pools[p].type]);
         }
         std::vector<std::size_t> order;
         for (std::size_t b = 0; b < bins.size(); ++b)
