Preempting gangs take free machines along, in the zone where that costs least

Cause: a gang that had to stop others planned only on machines with somebody to stop, and fixed its zone by the first of them; with three of four machines free it stopped four. Ruled out: DSMF order (those gangs were first in it).

--- a/src/core/placing.cpp
+++ b/src/core/placing.cpp
@@ -285,15 +285,13 @@
     std::vector<Machine*> candidates;
     for (auto& [name, machine] : machines_) {
         if (!usable(machine, now)) continue;
-        bool some = false;
+        candidates.push_back(&machine);
         for (const auto& [key, task] : machine.held) {
             if (task.placement->stage == Placement::Stage::bound || task.placement->stopping)
                 continue;
-            some = true;
             stoppable.insert({task.job->spec.priority,
                               standing.guaranteed.contains(key.first), task.job->spec.team});
         }
-        if (some) candidates.push_back(&machine);
     }
     for (auto* job : waiting) {
         const bool guaranteed = standing.guaranteed.contains(job->serial);
@@ -317,10 +315,6 @@
         if (!gang) want = std::min(want, array_preempts_a_cycle);
 
         std::set<std::pair<std::uint64_t, std::uint32_t>> spoken_for;
-        std::optional<std::string> zone;
-        if (job->spec.one_zone)
-            for (const auto& [index, placement] : job->placed)
-                zone = machines_.at(placement.machine).zone;
         std::map<const Machine*, Resources> planned;
         const auto plan_on = [&](Machine& machine) -> std::optional<Plan> {
             Plan plan{&machine, {}, 0};
@@ -352,7 +346,10 @@
                 plan.cost += victim.cost;
                 plan.victims.push_back(victim);
             }
-            if (!free.holds(job->spec.need) || plan.victims.empty()) return std::nullopt;
+            // An array has had the room that is free already. A gang that lacks a machine or two
+            // stops others only there and takes the rest as it is.
+            if (!free.holds(job->spec.need) || (plan.victims.empty() && !gang))
+                return std::nullopt;
             const bool cached =
                 std::any_of(machine.images.begin(), machine.images.end(),
                             [&](const CachedImage& entry) { return entry.id == job->image; });
@@ -362,31 +359,56 @@
         };
         // The cheapest plan first; only the plan of the machine just taken changes by that.
         const auto dearer = [](const Plan& a, const Plan& b) { return a.cost > b.cost; };
-        std::vector<Plan> heap;
-        for (auto* machine : candidates) {
-            if (!allowed(job->spec, *machine) || (zone && machine->zone != *zone)) continue;
-            if (auto plan = plan_on(*machine)) heap.push_back(std::move(*plan));
-        }
-        std::make_heap(heap.begin(), heap.end(), dearer);
-        std::vector<Plan> plans;
-        while (plans.size() < want && !heap.empty()) {
-            std::pop_heap(heap.begin(), heap.end(), dearer);
-            auto best = std::move(heap.back());
-            heap.pop_back();
-            auto& machine = *best.machine;
-            if (zone && machine.zone != *zone) continue;
-            for (const auto& victim : best.victims) {
-                spoken_for.insert({victim.job->serial, victim.index});
-                planned[&machine] -= victim.job->spec.need;
+        const auto plans_in = [&](const std::optional<std::string>& zone) {
+            spoken_for.clear();
+            planned.clear();
+            std::vector<Plan> heap;
+            for (auto* machine : candidates) {
+                if (!allowed(job->spec, *machine) || (zone && machine->zone != *zone)) continue;
+                if (auto plan = plan_on(*machine)) heap.push_back(std::move(*plan));
             }
-            planned[&machine] += job->spec.need;
-            if (job->spec.one_zone) zone = machine.zone;
-            plans.push_back(std::move(best));
-            if (auto again = plan_on(machine)) {
-                heap.push_back(std::move(*again));
-                std::push_heap(heap.begin(), heap.end(), dearer);
+            std::make_heap(heap.begin(), heap.end(), dearer);
+            std::vector<Plan> out;
+            while (out.size() < want && !heap.empty()) {
+                std::pop_heap(heap.begin(), heap.end(), dearer);
+                auto best = std::move(heap.back());
+                heap.pop_back();
+                auto& machine = *best.machine;
+                for (const auto& victim : best.victims) {
+                    spoken_for.insert({victim.job->serial, victim.index});
+                    planned[&machine] -= victim.job->spec.need;
+                }
+                planned[&machine] += job->spec.need;
+                out.push_back(std::move(best));
+                if (auto again = plan_on(machine)) {
+                    heap.push_back(std::move(*again));
+                    std::push_heap(heap.begin(), heap.end(), dearer);
+                }
+            }
+            return out;
+        };
+        std::vector<Plan> plans;
+        if (!job->spec.one_zone) {
+            plans = plans_in(std::nullopt);
+        } else if (!job->placed.empty()) {
+            plans = plans_in(machines_.at(job->placed.begin()->second.machine).zone);
+        } else {
+            // The zone where most of it finds room, at the least cost.
+            double least = std::numeric_limits<double>::max();
+            for (const auto& zone : config_.zones) {
+                auto here = plans_in(zone);
+                double cost = 0;
+                for (const auto& plan : here) cost += plan.cost;
+                if (here.size() < plans.size() || (here.size() == plans.size() && cost >= least))
+                    continue;
+                plans = std::move(here);
+                least = cost;
             }
         }
+        // Without anybody to stop, the room there is has been refused by DSMF for its own reasons.
+        if (std::all_of(plans.begin(), plans.end(),
+                        [](const Plan& plan) { return plan.victims.empty(); }))
+            continue;
         if (plans.empty() || (gang && plans.size() < want)) continue;
 
         auto attempt = ++next_attempt_;
