--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -260,7 +260,6 @@
     int rank_of(const Job& job, const Standing& standing) const;
     void unbind_all(TimePoint now);
     std::uint32_t room_in_limit(const Job& job, const Standing& standing) const;
-    bool held_back(const Machine& machine, TimePoint now) const;
     dsmf::Machine view_of(const Machine& machine, TimePoint now) const;
     void bind(Job& job, std::uint32_t index, Machine& machine, std::uint64_t attempt, int rank,
               Seconds makespan, Seconds rpm, TimePoint now);
--- a/src/core/placing.cpp
+++ b/src/core/placing.cpp
@@ -18,12 +18,6 @@
 // A reservation made by preemption outlives the save time of its victims by this.
 constexpr Seconds hold_beyond_save{8};
 constexpr Seconds silence_beyond_lease{2};
-// An empty ordinary machine waits this many of the usual gaps between jobs that need one.
-constexpr double gaps_held_back = 4;
-constexpr Seconds longest_held_back{10};
-
-// The groups of machines that a cycle tells apart, for each type and zone.
-enum : std::size_t { ordinary_kind, spot_kind, held_back_kind, kinds };
 
 bool limited(double used, double add, double limit) { return limit > 0 && used + add > limit + 1e-6; }
 
@@ -101,24 +95,6 @@
     }
 }
 
-// Where jobs that cannot use spot machines come one after the other, an empty ordinary machine is
-// left to them for a moment. Guard against lost work: short tasks that spot machines can do took
-// every machine that came free, and were stopped a few seconds later, unsaved, for a gang.
-bool Controller::held_back(const Machine& machine, TimePoint now) const {
-    if (machine.spot || !machine.held.empty()) return false;
-    const auto& type = types_[machine.type];
-    double rate = 0;
-    for (const auto& [name, stats] : classes_) {
-        const auto& spec = stats.typical;
-        if (stats.arrivals < 2 || stats.gap <= Seconds{0} || spec.id.empty() || spec.spot) continue;
-        if (!type.size.holds(spec.need) || !allowed(spec, machine)) continue;
-        rate += still_coming(stats, now) / stats.gap.count();
-    }
-    const Seconds hold{rate > 0 ? gaps_held_back / rate : 0};
-    if (hold <= Seconds{0} || hold > longest_held_back) return false;
-    return between(machine.idle_since, now) < std::max(hold, config_.cycle);
-}
-
 dsmf::Machine Controller::view_of(const Machine& machine, TimePoint now) const {
     const auto& type = types_[machine.type];
     dsmf::Machine view;
@@ -127,10 +103,7 @@
     view.cost = machine.spot ? type.spot_price : type.price;
     const auto zone = std::find(config_.zones.begin(), config_.zones.end(), machine.zone);
     view.zone = static_cast<std::size_t>(zone - config_.zones.begin());
-    view.group = (machine.type * config_.zones.size() + view.zone) * kinds +
-                 (machine.spot             ? spot_kind
-                  : held_back(machine, now) ? held_back_kind
-                                            : ordinary_kind);
+    view.group = (machine.type * config_.zones.size() + view.zone) * 2 + (machine.spot ? 1 : 0);
     view.images.reserve(machine.images.size() + 2);
     for (const auto& entry : machine.images) view.images.push_back({entry.id, Seconds{0}});
     for (const auto& [key, task] : machine.held) {
@@ -249,12 +222,9 @@
         eligible.image_gb = job->spec.image_gb;
         eligible.run = expected_run(*job);
         for (const auto& type : types_)
-            for (const auto& zone : config_.zones) {
-                const bool ordinary = allowed(job->spec, type.name, zone, false);
-                eligible.groups.push_back(ordinary);
-                eligible.groups.push_back(allowed(job->spec, type.name, zone, true));
-                eligible.groups.push_back(ordinary && !job->spec.spot);
-            }
+            for (const auto& zone : config_.zones)
+                for (const bool spot : {false, true})
+                    eligible.groups.push_back(allowed(job->spec, type.name, zone, spot));
         if (job->errors > 0 && machines.size() > 1)
             for (std::size_t m = 0; m < machines.size(); ++m)
                 if (machines[m]->failed_jobs.contains(job->spec.id)) eligible.barred.push_back(m);
