--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -76,6 +76,8 @@
     TimePoint last_report{};
     TimePoint idle_since{};
     TimePoint loaded_at{};
+    std::optional<TimePoint> unwanted_since;  // planning has had no use for it
+    bool closing = false;                     // gets no more tasks, and is returned when empty
     std::optional<TimePoint> taken_at;  // spot notice: when the cloud takes it
     std::vector<ReportedTask> tasks;    // of the last report
     std::map<std::pair<std::uint64_t, std::uint32_t>, HeldTask> held;  // by job serial, task
--- a/src/core/placing.cpp
+++ b/src/core/placing.cpp
@@ -183,7 +183,7 @@
     std::vector<Machine*> machines;
     std::vector<dsmf::Machine> views;
     for (auto& [name, machine] : machines_) {
-        if (!usable(machine, now)) continue;
+        if (!usable(machine, now) || machine.closing) continue;
         machines.push_back(&machine);
         views.push_back(view_of(machine, now));
         if (views.back().zone >= config_.zones.size()) {
@@ -284,7 +284,7 @@
     std::set<Stoppable> stoppable;
     std::vector<Machine*> candidates;
     for (auto& [name, machine] : machines_) {
-        if (!usable(machine, now)) continue;
+        if (!usable(machine, now) || machine.closing) continue;
         candidates.push_back(&machine);
         for (const auto& [key, task] : machine.held) {
             if (task.placement->stage == Placement::Stage::bound || task.placement->stopping)
--- a/src/core/renting.cpp
+++ b/src/core/renting.cpp
@@ -310,8 +310,17 @@
         if (bin.machine && bin.used) wanted_names.insert(bin.machine->name);
     for (auto& [name, machine] : machines_) {
         const bool paid = between(machine.first_seen, now) > config_.least_paid;
+        if (wanted_names.contains(name))
+            machine.unwanted_since.reset();
+        else if (!machine.unwanted_since)
+            machine.unwanted_since = now;
+        // Guard against machines that are dear and never empty: small tasks kept GPU machines busy
+        // all day that no GPU work wanted, and they were never given back.
+        machine.closing = paid && machine.unwanted_since &&
+                          between(*machine.unwanted_since, now) > config_.idle_return;
         const bool idle = machine.reported && machine.confirmed && machine.held.empty() &&
-                          between(machine.idle_since, now) > config_.idle_return;
+                          (machine.closing ||
+                           between(machine.idle_since, now) > config_.idle_return);
         if (!machine.releasing && !wanted_names.contains(name) && paid && idle)
             machine.releasing = true;
         if (machine.releasing && plan.release.size() < most_a_release)
