Renting by a forecast a boot ahead of arrivals

Now a class's target is at least what waits, what still runs a boot later, and what arrives until then at its rate of late; one arrival counts for nothing, nor does what had piled up at the start. In steady times that is what is wanted anyway.

--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -10,6 +10,7 @@
 constexpr std::size_t gone_remembered = 4096;
 // Attempts of one epoch never meet those of another, whatever a former owner had in flight.
 constexpr unsigned attempt_bits = 32;
+constexpr Seconds piled_up{5};
 constexpr double least_ratio = 0.2;
 constexpr double most_ratio = 5.0;
 
@@ -151,6 +152,11 @@
     }
     ++stats.arrivals;
     stats.last_arrival = now;
+    const double weight = std::min<double>(stats.arrivals, 30);
+    stats.tasks += (spec.tasks - stats.tasks) / weight;
+    stats.run += (spec.estimate - stats.run) / weight;
+    // What comes in the first moments has piled up before and tells nothing of the rate.
+    if (acting_since_ && between(*acting_since_, now) > piled_up) stats.recent += 1;
 }
 
 bool Controller::learn(const JobRecord& record, std::uint64_t stamp, TimePoint now) {
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -209,6 +209,14 @@
         Seconds gap{0};  // between arrivals of its jobs
         TimePoint last_arrival{};
         std::uint32_t arrivals = 0;
+        double recent = 0;  // arrivals of late, the older the less
+        double tasks = 0;   // of a job, on average
+        Seconds run{0};     // of a task by its owner, on average
+    };
+    // What a class asks for now, in tasks.
+    struct Demand {
+        double wanted = 0;
+        double waiting = 0;
     };
     struct PoolKey {
         std::string type, zone;
@@ -276,7 +284,8 @@
     Seconds patience(const Job& job, TimePoint now) const;
     double still_coming(const ClassStats& stats, TimePoint now) const;
     std::uint32_t wanted_typical(const ClassStats& stats) const;
-    void learn_demand(const std::map<std::string, double>& demand, TimePoint now);
+    void learn_demand(const std::map<std::string, Demand>& demand, TimePoint now);
+    double forecast(const ClassStats& stats, const Demand& demand) const;
 
     Config config_;
     std::uint64_t epoch_ = 0;
@@ -292,6 +301,9 @@
     std::set<std::string> gone_;
     std::deque<std::string> gone_order_;
     std::map<std::string, ClassStats> classes_;
+    std::optional<TimePoint> acting_since_;
+    TimePoint counted_until_{};
+    Seconds counted_{0};  // how long arrivals have been counted, the older time the less
     std::map<PoolKey, TimePoint> no_capacity_until_;
     std::map<std::string, Seconds> boot_seen_;
     Counts counts_;
--- a/src/core/renting.cpp
+++ b/src/core/renting.cpp
@@ -91,10 +91,16 @@
     return static_cast<std::uint32_t>(std::ceil(stats.typical.tasks / rounds));
 }
 
-void Controller::learn_demand(const std::map<std::string, double>& demand, TimePoint now) {
+void Controller::learn_demand(const std::map<std::string, Demand>& demand, TimePoint now) {
+    if (!acting_since_) acting_since_ = counted_until_ = now;
+    const auto counted = between(counted_until_, now);
+    const double fade = std::exp(-counted / config_.demand_memory);
+    counted_ = counted_ * fade + counted;
+    counted_until_ = now;
     for (auto& [name, stats] : classes_) {
+        stats.recent *= fade;
         const auto it = demand.find(name);
-        const double value = it == demand.end() ? 0 : it->second;
+        const double value = it == demand.end() ? 0 : it->second.wanted;
         if (!stats.seen) {
             stats.seen = true;
             stats.mean = value;
@@ -108,6 +114,20 @@
     }
 }
 
+// What a class will want when a machine rented now is up: what waits, what still runs then, and
+// what arrives until then, at the rate of late. In steady times that is what it wants now; while
+// work builds up, the mean of the past is behind by more than a boot.
+double Controller::forecast(const ClassStats& stats, const Demand& demand) const {
+    constexpr Seconds least_counted{10};
+    if (counted_ < least_counted || stats.run <= Seconds{0}) return 0;
+    const auto run = stats.run * stats.ratio;
+    const double stays = std::exp(-boot_of(stats.typical) / run);
+    // One arrival tells nothing of a rate.
+    const double arrived = std::max(stats.recent - 1, 0.0);
+    const double comes = arrived / counted_.count() * stats.tasks * run.count();
+    return demand.waiting + (demand.wanted - demand.waiting) * stays + comes * (1 - stays);
+}
+
 RentPlan Controller::plan_renting(TimePoint now) {
     RentPlan plan;
     if (!types_known()) return plan;
@@ -119,7 +139,7 @@
         int rank;
     };
     std::vector<Want> wants;
-    std::map<std::string, double> demand;
+    std::map<std::string, Demand> demand;
     std::map<std::string, std::uint32_t> asked;
     const auto standing = this->standing();
     // Tasks that fill a machine for a gang, by when they are expected to end.
@@ -143,7 +163,9 @@
                                  static_cast<std::uint32_t>(job->placed.size());
         n = std::min(n, allowed_now);
         classes_[job->spec.job_class].typical = job->spec;
-        demand[job->spec.job_class] += n;
+        auto& wanted_now = demand[job->spec.job_class];
+        wanted_now.wanted += n;
+        wanted_now.waiting += n - std::min(n, static_cast<std::uint32_t>(job->placed.size()));
         asked[job->spec.job_class] += n;
         if (n == 0) continue;
         // A machine that frees up before the job's start is due serves it as well as a new one.
@@ -165,7 +187,9 @@
     for (const auto& [name, stats] : classes_) {
         // Jobs arrive on their own, so the spread of demand in whole jobs is about that of counts.
         const double a_job = std::max(1.0, static_cast<double>(wanted_typical(stats)));
-        const double mean = stats.mean * still_coming(stats, now);
+        const auto asks = demand.contains(name) ? demand.at(name) : Demand{};
+        const double mean =
+            std::max(stats.mean, forecast(stats, asks)) * still_coming(stats, now);
         const auto target = static_cast<std::uint32_t>(
             std::floor(mean + headroom_for(stats) * std::sqrt(mean * a_job) + 0.5));
         const auto have = asked.contains(name) ? asked.at(name) : 0;
