--- /dev/null
+++ b/src/app/acceptor.hpp
@@ -0,0 +1,53 @@
+// Accepts jobs on a controller that does not act: their first records are written here, and the
+// controller that acts learns of them from the state service. So a job can be taken while nobody
+// acts, and none is lost with the controller that took it.
+#pragma once
+
+#include <chrono>
+#include <condition_variable>
+#include <deque>
+#include <memory>
+#include <mutex>
+
+#include "app/settings.hpp"
+#include "app/state_store.hpp"
+#include "core/job.hpp"
+
+namespace bendspindle::app {
+
+class Acceptor {
+  public:
+    enum class Outcome : std::uint8_t {
+        accepted,
+        known,   // a record exists: open or over
+        failed,  // not recorded in time, as far as known
+    };
+
+    Acceptor(StateStore& store, StateLimits limits);
+    // Runs until the process ends.
+    void run();
+    // Waits until the record is written, or no longer than a user may be kept waiting.
+    Outcome accept(core::JobRecord record);
+
+  private:
+    using Clock = std::chrono::steady_clock;
+    struct Entry {
+        core::JobRecord record;
+        Clock::time_point until{};
+        std::optional<Outcome> outcome;
+    };
+    using Batch = std::vector<std::shared_ptr<Entry>>;
+
+    Batch gather();
+    void write(const Batch& batch);
+    void settle(const Batch& batch, const Txn& txn);
+
+    StateStore& store_;
+    StateLimits limits_;
+    std::mutex mutex_;
+    std::condition_variable wanted_;
+    std::condition_variable settled_;
+    std::deque<std::shared_ptr<Entry>> waiting_;
+};
+
+}  // namespace bendspindle::app
--- a/src/app/office.hpp
+++ b/src/app/office.hpp
@@ -48,6 +48,7 @@
     // Null when another controller acts, or while the records are being loaded.
     std::unique_ptr<core::Controller> controller;
     std::uint64_t steward_stamp = 0;
+    std::uint64_t learned_revision = 0;  // up to which records of open jobs are known
     bool write_pending = false;
     bool place_pending = false;
 
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -21,6 +21,8 @@
 constexpr milliseconds least_between_cycles{250};
 constexpr milliseconds load_retry{300};
 constexpr milliseconds announce_every{1000};
+constexpr milliseconds watch_wait{10'000};
+constexpr milliseconds learn_pause{100};
 // A worker back within this time has not reached the controller it was sent to.
 constexpr seconds redirect_memory{15};
 // After this long its reports are no longer handed on; it is sent there again.
@@ -44,6 +46,7 @@
                   {[this](std::uint64_t epoch, std::uint64_t stamp) { take_over(epoch, stamp); },
                    [this] { stand_down(); }}),
       recorder_(office_, store_, finals_, settings_.state_limits),
+      acceptor_(store_, settings_.state_limits),
       cloud_(office_, settings_),
       courier_(office_) {
     for (const auto& sibling : settings_.siblings)
@@ -54,11 +57,13 @@
     auto controller = std::make_unique<core::Controller>(core_config(settings_, own_), epoch);
     // Loading runs beside the renewal of the lease, which this thread must not hold up.
     std::thread([this, epoch, steward_stamp, controller = std::move(controller)]() mutable {
+        std::optional<std::uint64_t> revision;
         for (;;) {
             const auto now = membership_.standing();
             if (!now.acting || now.epoch != epoch) return;
             controller = std::make_unique<core::Controller>(core_config(settings_, own_), epoch);
-            if (load(*controller)) break;
+            revision = load(*controller);
+            if (revision) break;
             std::this_thread::sleep_for(load_retry);
         }
         const std::lock_guard lock(office_.mutex);
@@ -68,33 +73,34 @@
                      controller->machines().size());
         office_.controller = std::move(controller);
         office_.steward_stamp = steward_stamp;
+        office_.learned_revision = *revision;
         office_.want_place();
         office_.want_write();
     }).detach();
 }
 
-bool Service::load(core::Controller& controller) {
+std::optional<std::uint64_t> Service::load(core::Controller& controller) {
     controller.set_types(cloud_.types());
     const auto machines = store_.list("machine/");
-    if (machines.outcome != Outcome::ok) return false;
+    if (machines.outcome != Outcome::ok) return std::nullopt;
     const auto now = Clock::now();
     for (const auto& entry : machines.entries) {
         const auto name = entry.key.substr(std::string("machine/").size());
         const auto machine = wire::parse_machine_record(name, entry.value);
         if (!machine) {
             spdlog::error("record {} cannot be read", entry.key);
-            return false;
+            return std::nullopt;
         }
         controller.load_machine(*machine, entry.stamp, now);
     }
-    const auto jobs = store_.list("job/");
-    if (jobs.outcome != Outcome::ok) return false;
+    const auto jobs = store_.list(keys::jobs);
+    if (jobs.outcome != Outcome::ok) return std::nullopt;
     std::vector<std::pair<core::JobRecord, std::uint64_t>> records;
     for (const auto& entry : jobs.entries) {
         auto record = wire::parse_job_record(entry.value);
         if (!record) {
             spdlog::error("record {} cannot be read", entry.key);
-            return false;
+            return std::nullopt;
         }
         records.emplace_back(std::move(*record), entry.stamp);
     }
@@ -102,7 +108,48 @@
         return a.first.submitted < b.first.submitted;
     });
     for (const auto& [record, stamp] : records) controller.load_job(record, stamp, Clock::now());
-    return true;
+    return jobs.revision;
+}
+
+// Records that another controller has written for jobs it accepted: nobody has adopted them yet.
+void Service::learn_jobs(const std::vector<wire::Entry>& entries, std::uint64_t revision,
+                         std::uint64_t epoch) {
+    const std::lock_guard lock(office_.mutex);
+    if (!office_.controller || office_.controller->epoch() != epoch) return;
+    // Guard against ran_twice: without a valid lease another controller may act already, and it
+    // would take this one to have known nothing of younger records. They are asked for again.
+    if (!membership_.lease_valid()) return;
+    bool some = false;
+    for (const auto& entry : entries) {
+        const auto record = wire::parse_job_record(entry.value);
+        // Guard against doing finished work again: a record that this controller has written, or
+        // whose job is over, may be told of late.
+        if (!record || !record->home.empty() || finals_.get(record->spec.id)) continue;
+        some |= office_.controller->learn(*record, entry.stamp, Clock::now());
+    }
+    office_.learned_revision = revision;
+    if (some) office_.want_place();
+}
+
+void Service::learn() {
+    for (;;) {
+        std::uint64_t epoch = 0;
+        std::uint64_t since = 0;
+        {
+            const std::lock_guard lock(office_.mutex);
+            if (office_.controller) {
+                epoch = office_.controller->epoch();
+                since = office_.learned_revision;
+            }
+        }
+        if (epoch != 0) {
+            auto news = store_.watch(keys::jobs, since, watch_wait);
+            if (news.outcome == Outcome::too_old) news = store_.list(keys::jobs);
+            if (news.outcome == Outcome::ok) learn_jobs(news.entries, news.revision, epoch);
+        }
+        // This controller's own writes end the wait too; a pause lets several come together.
+        std::this_thread::sleep_for(learn_pause);
+    }
 }
 
 void Service::stand_down() {
@@ -158,20 +205,45 @@
     return {404, 0, wire::error_body("no such job")};
 }
 
-Reply Service::submit(const std::string& body, From from) {
+Reply Service::accept_elsewhere(const core::JobSpec& spec) {
+    const auto verdict = core::judge(spec, settings_.teams, cloud_.types());
+    if (verdict == core::Verdict::not_ready) return busy("machine types are not known yet");
+    if (verdict == core::Verdict::never_fits) {
+        // It may have been accepted before teams or types changed; accepted stays accepted.
+        auto reply = from_records(spec.id, false);
+        if (reply.status == 404) return {422, 0, wire::error_body("the job can never run")};
+        return reply;
+    }
+    core::JobRecord record;
+    record.spec = spec;
+    record.submitted = std::chrono::system_clock::now();
+    switch (acceptor_.accept(std::move(record))) {
+        case Acceptor::Outcome::accepted:
+            return {201, 0, wire::status_body(spec.id, core::JobStatus{}, false)};
+        case Acceptor::Outcome::known: {
+            auto reply = from_records(spec.id, false);
+            if (reply.status == 404) return busy("the record is changing");
+            return reply;
+        }
+        case Acceptor::Outcome::failed:
+            break;
+    }
+    return busy("the job could not be recorded in time");
+}
+
+Reply Service::submit(const std::string& body) {
     const auto parsed = wire::parse_job(body);
     if (!parsed.job) return {400, 0, wire::error_body(parsed.error)};
     const auto& id = parsed.job->id;
     if (auto reply = from_final(id, false)) return *reply;
-    if (!membership_.standing().acting) {
-        if (from == From::sibling) return busy("another controller acts");
-        if (auto reply = hand_on(wire::peer::Op::submit, id, body)) return *reply;
-        return busy("no controller acts");
-    }
+    if (!membership_.standing().acting) return accept_elsewhere(*parsed.job);
     if (!membership_.lease_valid()) return busy("the state service does not answer", 2);
 
     std::unique_lock lock(office_.mutex);
-    if (!office_.controller) return busy("taking over");
+    if (!office_.controller) {
+        lock.unlock();
+        return accept_elsewhere(*parsed.job);
+    }
     const auto verdict = office_.controller->check(*parsed.job);
     if (verdict == core::Verdict::not_ready) return busy("machine types are not known yet");
     if (verdict == core::Verdict::never_fits && !office_.controller->knows(id)) {
@@ -314,9 +386,6 @@
     last_sibling_answer_ = Clock::now();
     Reply reply;
     switch (request.op) {
-        case wire::peer::Op::submit:
-            reply = submit(request.body, From::sibling);
-            break;
         case wire::peer::Op::status:
             reply = status(request.id, From::sibling);
             break;
@@ -395,7 +464,7 @@
         response.status = healthy() ? 200 : 503;
     });
     http.Post(wire::path::work, [&](const httplib::Request& request, httplib::Response& response) {
-        send(submit(request.body, From::outside), response);
+        send(submit(request.body), response);
     });
     http.Get(R"(/work/([^/]*))", [&](const httplib::Request& request, httplib::Response& response) {
         send(status(request.matches[1], From::outside), response);
@@ -437,6 +506,8 @@
     std::thread([this] { cloud_.run(); }).detach();
     std::thread([this] { membership_.run(); }).detach();
     std::thread([this] { recorder_.run(); }).detach();
+    std::thread([this] { acceptor_.run(); }).detach();
+    std::thread([this] { learn(); }).detach();
     std::thread([this] { place(); }).detach();
     std::thread([this] { announce(); }).detach();
     courier_.start();
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "app/acceptor.hpp"
 #include "app/cloud_desk.hpp"
 #include "app/courier.hpp"
 #include "app/membership.hpp"
@@ -37,7 +38,8 @@
     enum class From : std::uint8_t { outside, sibling };
 
     // Users.
-    Reply submit(const std::string& body, From from);
+    Reply submit(const std::string& body);
+    Reply accept_elsewhere(const core::JobSpec& spec);
     Reply status(const std::string& id, From from);
     Reply cancel(const std::string& id, From from);
     std::optional<Reply> hand_on(wire::peer::Op op, const std::string& id,
@@ -56,7 +58,11 @@
     wire::peer::Answer answer_sibling(const wire::peer::Request& request);
 
     void take_over(std::uint64_t epoch, std::uint64_t steward_stamp);
-    bool load(core::Controller& controller);
+    // The revision up to which records were read, if they were.
+    std::optional<std::uint64_t> load(core::Controller& controller);
+    void learn();
+    void learn_jobs(const std::vector<wire::Entry>& entries, std::uint64_t revision,
+                    std::uint64_t epoch);
     void stand_down();
     void place();
     void announce();
@@ -68,6 +74,7 @@
     FinalCache finals_;
     Membership membership_;
     Recorder recorder_;
+    Acceptor acceptor_;
     CloudDesk cloud_;
     Courier courier_;
     std::map<std::string, std::unique_ptr<io::PeerClient>> siblings_;
--- a/src/app/state_store.cpp
+++ b/src/app/state_store.cpp
@@ -25,6 +25,8 @@
             return Outcome::conflict;
         case 400:
             return Outcome::invalid;
+        case 410:
+            return Outcome::too_old;
         case 429:
         case 503:
             return Outcome::refused;
@@ -55,12 +57,30 @@
             out.outcome = Outcome::unknown;
             return out;
         }
+        // What changes between two pages is watched from the first page on.
+        if (after.empty()) out.revision = entries->revision;
         for (auto& entry : entries->entries) out.entries.push_back(std::move(entry));
         if (!entries->more || entries->entries.empty()) return out;
         after = out.entries.back().key;
     }
 }
 
+Listing StateStore::watch(const std::string& prefix, std::uint64_t since,
+                          std::chrono::milliseconds wait) {
+    const auto answer = client_.get(wire::path::watch(prefix, since, wait), wait);
+    Listing out;
+    out.outcome = outcome_of(answer);
+    if (out.outcome != Outcome::ok) return out;
+    auto events = wire::parse_events(answer->body);
+    if (!events) {
+        out.outcome = Outcome::unknown;
+        return out;
+    }
+    out.entries = std::move(events->entries);
+    out.revision = events->revision;
+    return out;
+}
+
 Txn StateStore::transact(const std::vector<wire::Condition>& conditions,
                          const std::vector<wire::Operation>& operations) {
     const auto answer = client_.post(wire::path::txn, wire::txn_body(conditions, operations));
--- a/src/app/state_store.hpp
+++ b/src/app/state_store.hpp
@@ -20,6 +20,7 @@
     refused,   // not executed: too many requests or trouble
     unknown,   // no answer: it may have been executed, or may still be
     invalid,   // the service calls the request malformed
+    too_old,   // a watch from a revision that is no longer kept
 };
 
 struct Read {
@@ -29,6 +30,7 @@
 struct Listing {
     Outcome outcome = Outcome::unknown;
     std::vector<wire::Entry> entries;
+    std::uint64_t revision = 0;  // what a watch goes on from, so that nothing is missed
 };
 struct Txn {
     Outcome outcome = Outcome::unknown;
@@ -43,6 +45,8 @@
     explicit StateStore(io::Endpoint endpoint);
     Read get(const std::string& key);
     Listing list(const std::string& prefix);
+    // Waits for puts under a prefix after a revision.
+    Listing watch(const std::string& prefix, std::uint64_t since, std::chrono::milliseconds wait);
     Txn transact(const std::vector<wire::Condition>& conditions,
                  const std::vector<wire::Operation>& operations);
     std::optional<std::uint64_t> grant(std::chrono::milliseconds life);
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -85,27 +85,40 @@
     machine.first_seen = machine.last_report = machine.idle_since = machine.loaded_at = now;
 }
 
-bool Controller::allowed(const JobSpec& spec, const std::string& type, const std::string& zone,
-                         bool spot) const {
+namespace {
+
+bool allowed_on(const JobSpec& spec, const std::string& type, const std::string& zone, bool spot) {
     if (spot && !spec.spot) return false;
     if (spec.zone && *spec.zone != zone) return false;
     if (!spec.types) return true;
     return std::find(spec.types->begin(), spec.types->end(), type) != spec.types->end();
 }
 
+}  // namespace
+
+bool Controller::allowed(const JobSpec& spec, const std::string& type, const std::string& zone,
+                         bool spot) const {
+    return allowed_on(spec, type, zone, spot);
+}
+
 bool Controller::allowed(const JobSpec& spec, const Machine& machine) const {
     return machine.type_known && allowed(spec, machine.type_name, machine.zone, machine.spot);
 }
 
 Verdict Controller::check(const JobSpec& spec) const {
-    if (!types_known()) return Verdict::not_ready;
-    const auto team = std::find_if(config_.teams.begin(), config_.teams.end(),
+    return judge(spec, config_.teams, types_);
+}
+
+Verdict judge(const JobSpec& spec, const std::vector<Team>& teams,
+              const std::vector<MachineType>& types) {
+    if (types.empty()) return Verdict::not_ready;
+    const auto team = std::find_if(teams.begin(), teams.end(),
                                    [&](const Team& t) { return t.name == spec.team; });
-    if (team == config_.teams.end()) return Verdict::never_fits;
-    const bool fits_some = std::any_of(types_.begin(), types_.end(), [&](const MachineType& type) {
+    if (team == teams.end()) return Verdict::never_fits;
+    const bool fits_some = std::any_of(types.begin(), types.end(), [&](const MachineType& type) {
         if (!type.size.holds(spec.need)) return false;
         return std::any_of(type.zones.begin(), type.zones.end(), [&](const std::string& zone) {
-            return allowed(spec, type.name, zone, false);
+            return allowed_on(spec, type.name, zone, false);
         });
     });
     if (!fits_some) return Verdict::never_fits;
@@ -117,13 +130,7 @@
     return Verdict::fits;
 }
 
-bool Controller::accept(const JobSpec& spec, WallTime submitted, TimePoint now) {
-    if (knows(spec.id)) return false;
-    auto job = std::make_unique<Job>();
-    job->spec = spec;
-    job->submitted = submitted;
-    job->accepted_at = now;
-    job->accepted_here = true;
+void Controller::note_arrival(const JobSpec& spec, TimePoint now) {
     auto& stats = classes_[spec.job_class];
     if (stats.arrivals > 0) {
         const auto gap = between(stats.last_arrival, now);
@@ -131,6 +138,25 @@
     }
     ++stats.arrivals;
     stats.last_arrival = now;
+}
+
+bool Controller::learn(const JobRecord& record, std::uint64_t stamp, TimePoint now) {
+    if (knows(record.spec.id)) return false;
+    load_job(record, stamp, now);
+    // Its record is younger than this epoch, so no controller of an older one has started it.
+    by_id_.at(record.spec.id)->accepted_here = true;
+    note_arrival(record.spec, now);
+    return true;
+}
+
+bool Controller::accept(const JobSpec& spec, WallTime submitted, TimePoint now) {
+    if (knows(spec.id)) return false;
+    auto job = std::make_unique<Job>();
+    job->spec = spec;
+    job->submitted = submitted;
+    job->accepted_at = now;
+    job->accepted_here = true;
+    note_arrival(spec, now);
     changed(add_job(std::move(job)), now);
     return true;
 }
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -132,6 +132,10 @@
 
 enum class Verdict : std::uint8_t { fits, never_fits, not_ready };
 
+// Whether a job could ever run.
+Verdict judge(const JobSpec& spec, const std::vector<Team>& teams,
+              const std::vector<MachineType>& types);
+
 class Controller {
   public:
     Controller(Config config, std::uint64_t epoch);
@@ -145,6 +149,9 @@
     void load_job(const JobRecord& record, std::uint64_t stamp, TimePoint now);
     void load_machine(const ListedMachine& record, std::uint64_t stamp, TimePoint now);
 
+    // A job that another controller has accepted in this epoch. False: it was known already.
+    bool learn(const JobRecord& record, std::uint64_t stamp, TimePoint now);
+
     // Users.
     Verdict check(const JobSpec& spec) const;
     bool knows(const std::string& id) const { return by_id_.contains(id); }
@@ -209,6 +216,7 @@
     const Job* find(const std::string& id) const;
     Job& add_job(std::unique_ptr<Job> job);
     void forget_job(Job& job);
+    void note_arrival(const JobSpec& spec, TimePoint now);
     Machine& machine_for(const Report& report, TimePoint now);
     // How a task list came: as a report, or as the answer to a direct call between two reports.
     enum class Source : std::uint8_t { report, direct_answer };
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -513,6 +513,20 @@
     });
 }
 
+std::optional<Entries> parse_events(std::string_view body) {
+    return guarded([&] {
+        auto m = map_of(body);
+        Entries out;
+        for (const auto& e : list(m, "events")) {
+            if (!e.is_object()) throw Malformed{"events holds what is not a map"};
+            if (e.contains("put"))
+                out.entries.push_back({text(e, "put"), need(e, "v"), count(e, "stamp")});
+        }
+        out.revision = count(m, "ledger_tick");
+        return out;
+    });
+}
+
 std::string txn_body(const std::vector<Condition>& conditions,
                      const std::vector<Operation>& operations) {
     Value when = Value::array();
--- a/src/wire/codec.hpp
+++ b/src/wire/codec.hpp
@@ -97,6 +97,8 @@
 };
 std::optional<Entry> parse_entry(std::string_view body);
 std::optional<Entries> parse_entries(std::string_view body);
+// The puts of a watch's answer; what was deleted is left out.
+std::optional<Entries> parse_events(std::string_view body);
 std::string txn_body(const std::vector<Condition>& conditions,
                      const std::vector<Operation>& operations);
 std::optional<TxnAnswer> parse_txn(std::string_view body);
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -93,7 +93,7 @@
 }
 
 std::optional<Request> parse_request(std::uint8_t kind, std::string_view payload) {
-    if (kind < static_cast<std::uint8_t>(Op::submit) || kind > static_cast<std::uint8_t>(Op::view))
+    if (kind < static_cast<std::uint8_t>(Op::status) || kind > static_cast<std::uint8_t>(Op::view))
         return std::nullopt;
     Reader in(payload);
     Request out;
--- a/src/wire/peer.hpp
+++ b/src/wire/peer.hpp
@@ -13,7 +13,7 @@
 constexpr std::size_t header_size = 8;
 constexpr std::size_t most_payload = 128 * 1024;
 
-enum class Op : std::uint8_t { submit = 1, status = 2, cancel = 3, report = 4, view = 5 };
+enum class Op : std::uint8_t { status = 2, cancel = 3, report = 4, view = 5 };
 
 // Frame: u8 version, u8 kind, u16 zero, u32 payload length.
 struct Header {
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -156,6 +156,17 @@
     EXPECT_EQ(stage_within_a_minute("job-2", "running"), "running");
     EXPECT_EQ(ask("/work/job-2/cancel", std::string()).second.value("stage", ""), "aborted");
 
+    // Each controller accepts by itself, whoever acts.
+    for (int i = 0; i < 3; ++i) {
+        const auto id = "job-at-" + std::to_string(i);
+        httplib::Client client("127.0.0.1", base_ + i);
+        client.set_read_timeout(6s);
+        const auto result = client.Post("/work", job(id), "application/cbor");
+        ASSERT_TRUE(result);
+        EXPECT_EQ(result->status, 201);
+        EXPECT_EQ(stage_within_a_minute(id, "done"), "done");
+    }
+
     EXPECT_TRUE(controllers_.kill(0));
     EXPECT_EQ(ask("/work", job("job-3")).first, 201);
     EXPECT_EQ(stage_within_a_minute("job-3", "done"), "done");
--- a/tests/standin/services.cpp
+++ b/tests/standin/services.cpp
@@ -46,6 +46,25 @@
         answer(response, 200,
                {{"pairs", pairs}, {"truncated", false}, {"ledger_tick", revision_}});
     });
+    server_.Get("/watch", [this](const auto& request, auto& response) {
+        const auto prefix = request.get_param_value("starts");
+        const auto since = std::stoull(request.get_param_value("since"));
+        const auto until =
+            Clock::now() + std::chrono::milliseconds(std::stoi(request.get_param_value("wait_ms")));
+        for (;;) {
+            {
+                const std::lock_guard lock(mutex_);
+                expire();
+                Value events = Value::array();
+                for (const auto& [key, item] : items_)
+                    if (key.starts_with(prefix) && item.stamp > since)
+                        events.push_back({{"put", key}, {"v", item.value}, {"stamp", item.stamp}});
+                if (!events.empty() || ending_ || Clock::now() >= until)
+                    return answer(response, 200, {{"ledger_tick", revision_}, {"events", events}});
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+    });
     server_.Post("/txn",
                  [this](const auto& request, auto& response) { transact(request, response); });
     server_.Post("/leases", [this](const auto& request, auto& response) {
@@ -67,6 +86,7 @@
 }
 
 StateService::~StateService() {
+    ending_ = true;
     server_.stop();
     thread_.join();
 }
--- a/tests/standin/services.hpp
+++ b/tests/standin/services.hpp
@@ -42,6 +42,7 @@
     std::uint64_t next_lease_ = 0;
     std::map<std::string, Item> items_;
     std::map<std::uint64_t, Lease> leases_;
+    std::atomic<bool> ending_{false};
     httplib::Server server_;
     std::thread thread_;
 };
