--- a/tests/standin/world.cpp
+++ b/tests/standin/world.cpp
@@ -46,6 +46,20 @@
     return text.empty() ? other : std::stod(text);
 }
 
+void World::note(const std::string& decision) const {
+    if (decided_) decided_(std::to_string(std::lround((now_ - 100) * 1000)) + " " + decision);
+}
+
+void World::note_orders(const std::string& machine, const std::vector<core::Order>& orders) const {
+    if (!decided_) return;
+    for (const auto& order : orders) {
+        std::ostringstream text;
+        text << machine << " verb " << static_cast<int>(order.verb) << " " << order.job << "/"
+             << order.index << " try " << order.attempt << " grace " << order.grace.count();
+        note(text.str());
+    }
+}
+
 void World::take_over() {
     controller_ = std::make_unique<core::Controller>(config_, ++epoch_);
     if (catalog_) controller_->set_types(types_);
@@ -61,12 +75,15 @@
     const auto stamp = ++revision_;
     for (const auto& change : changes) {
         using What = core::Change::What;
+        note("write " + std::to_string(static_cast<int>(change.what)) + " " + change.id);
         if (change.what == What::put_job) {
             jobs_[change.id] = {change.job, stamp};
         } else if (change.what == What::finish_job) {
             jobs_.erase(change.id);
             if (finals_.contains(change.id)) fail("a final record is written twice");
             finals_[change.id] = change.job.final;
+            // Its user is told once this is durable, and counts from then.
+            if (change.job.final == core::Final::cancelled) cancelled_at_[change.id] = now_;
         } else if (change.what == What::put_machine) {
             records_[change.id] = {change.machine, stamp};
         } else {
@@ -103,6 +120,7 @@
 void World::deliver(Worker& worker, const core::Report& report, bool answered) {
     if (!controller_) return;
     const auto answer = controller_->report(report, at());
+    note_orders(worker.name, answer.orders);
     if (!answered || !answer.entitled) return;
     if (worker.slow_answer) {
         worker.slow_answer = false;
@@ -277,6 +295,8 @@
         controller_->cycle(at());
         if (direct_) {
             for (const auto& due : controller_->direct_calls(at())) {
+                note("call " + due.machine);
+                note_orders(due.machine, due.orders);
                 const auto worker = workers_.find(due.machine);
                 const bool reaches = worker != workers_.end() && worker->second.reachable &&
                                      !worker->second.hung && !worker->second.dead;
@@ -289,6 +309,10 @@
             }
         }
         auto plan = controller_->plan_renting(at());
+        for (const auto& name : plan.release) note("release " + name);
+        for (const auto& rent : plan.rent)
+            note("rent " + rent.request + " " + rent.type + " " + rent.zone +
+                 (rent.spot ? " spot " : " ordinary ") + std::to_string(rent.count));
         if (cloud_up_) {
             for (const auto& name : plan.release) {
                 workers_.erase(name);
@@ -472,7 +496,6 @@
     } else if (verb == "cancel") {
         controller_->cancel(words.at(1), at());
         write_records();
-        cancelled_at_[words[1]] = now_;
     } else if (verb == "run") {
         const double until = now_ + std::stod(words.at(1));
         while (now_ < until - 1e-9) step();
--- a/tests/standin/world.hpp
+++ b/tests/standin/world.hpp
@@ -2,6 +2,7 @@
 // every step. Scenarios (tests/scenarios/*.scn) drive it.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -19,6 +20,8 @@
     World();
     // Executes one line of a scenario; throws std::runtime_error when an expectation fails.
     void line(const std::string& text);
+    // Is told of everything the controller decides, a line each: orders, writes, rentals, returns.
+    void tell_decisions(std::function<void(const std::string&)> to) { decided_ = std::move(to); }
 
   private:
     using Words = std::vector<std::string>;
@@ -32,6 +35,8 @@
     void step();
     void deliver(Worker& worker, const core::Report& report, bool answered);
     void obey(Worker& worker, const std::vector<core::Order>& orders);
+    void note_orders(const std::string& machine, const std::vector<core::Order>& orders) const;
+    void note(const std::string& decision) const;
     void call(const core::DirectCall& call, bool answered);
     void advance(Worker& worker, double dt);
     void write_records();
@@ -79,6 +84,7 @@
     double boot_ = 5;
     std::vector<std::pair<double, Worker>> booting_;
     std::set<std::string> released_;
+    std::function<void(const std::string&)> decided_;
 };
 
 }  // namespace bendspindle::standin
