The core in rooms: each fact one owner, the same decisions

Need: core::Controller had some 60 members in three files; every subsystem to come would have added to it, and preempt alone was 170 lines of nested lambdas. Change: catalog, fleet, pipelines, estimates, ledger, dispatch, preemption, placing, demand, renting and changes are rooms with a header each; Controller only connects them. Plans, victims and the search for room are types. State that nothing read (seen boot times, the report of an order) is gone.

--- a/src/app/cloud_desk.cpp
+++ b/src/app/cloud_desk.cpp
@@ -108,7 +108,7 @@
     spdlog::info("released {} machines, first {}", names.size(), names.front());
     const std::lock_guard lock(office_.mutex);
     if (!office_.controller || office_.controller->epoch() != epoch) return;
-    office_.controller->released(names, Clock::now());
+    office_.controller->released(names);
     office_.want_write();
     office_.want_place();
 }
--- /dev/null
+++ b/src/core/catalog.cpp
@@ -0,0 +1,73 @@
+#include "core/catalog.hpp"
+
+#include <algorithm>
+
+namespace bendspindle::core {
+
+namespace {
+
+bool allowed_in_some_zone(const JobSpec& spec, const MachineType& type) {
+    return std::any_of(type.zones.begin(), type.zones.end(), [&](const std::string& zone) {
+        return allowed(spec, type.name, zone, false);
+    });
+}
+
+}  // namespace
+
+bool allowed(const JobSpec& spec, const std::string& type, const std::string& zone, bool spot) {
+    if (spot && !spec.spot) return false;
+    if (spec.zone && *spec.zone != zone) return false;
+    if (!spec.types) return true;
+    return std::find(spec.types->begin(), spec.types->end(), type) != spec.types->end();
+}
+
+Verdict judge(const JobSpec& spec, const std::vector<Team>& teams,
+              const std::vector<MachineType>& types) {
+    if (types.empty()) return Verdict::not_ready;
+    const auto team = std::find_if(teams.begin(), teams.end(),
+                                   [&](const Team& t) { return t.name == spec.team; });
+    if (team == teams.end()) return Verdict::never_fits;
+    const bool fits_some = std::any_of(types.begin(), types.end(), [&](const MachineType& type) {
+        return type.size.holds(spec.need) && allowed_in_some_zone(spec, type);
+    });
+    if (!fits_some) return Verdict::never_fits;
+    // An array needs its limit for one task, gangs and services for all of them.
+    const double at_once = spec.kind == Kind::array ? 1 : spec.tasks;
+    const auto& limit = team->limit;
+    if (limit.cpus > 0 && spec.need.cpus * at_once > limit.cpus) return Verdict::never_fits;
+    if (limit.gpus > 0 && spec.need.gpus * at_once > limit.gpus) return Verdict::never_fits;
+    return Verdict::fits;
+}
+
+void Catalog::set(std::vector<MachineType> types) {
+    types_ = std::move(types);
+    index_.clear();
+    for (std::size_t i = 0; i < types_.size(); ++i) index_[types_[i].name] = i;
+}
+
+std::optional<std::size_t> Catalog::find(const std::string& name) const {
+    const auto it = index_.find(name);
+    if (it == index_.end()) return std::nullopt;
+    return it->second;
+}
+
+// Guard against GPUs paid for in vain: when everything else was taken, GPU machines were rented for
+// tasks that need none. They use GPU machines that are there, but none is rented for them unless no
+// other type can run them.
+bool Catalog::suits(const JobSpec& spec, const MachineType& type) const {
+    if (spec.need.gpus > 0 || type.size.gpus <= 0) return true;
+    return std::none_of(types_.begin(), types_.end(), [&](const MachineType& other) {
+        return other.size.gpus <= 0 && other.size.holds(spec.need) &&
+               allowed_in_some_zone(spec, other);
+    });
+}
+
+Seconds Catalog::longest_boot(const JobSpec& spec) const {
+    Seconds longest{0};
+    for (const auto& type : types_)
+        if (type.size.holds(spec.need) && allowed_in_some_zone(spec, type))
+            longest = std::max(longest, type.boot);
+    return longest;
+}
+
+}  // namespace bendspindle::core
--- /dev/null
+++ b/src/core/changes.hpp
@@ -0,0 +1,51 @@
+// What the state service does not know yet: which records are to be written, in which order, and
+// what a write's outcome means for their owners.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "core/config.hpp"
+#include "core/fleet.hpp"
+#include "core/job.hpp"
+#include "core/pipelines.hpp"
+
+namespace bendspindle::core {
+
+// A record to be written. `version` and `stamp` come back with the outcome.
+struct Change {
+    enum class What : std::uint8_t { put_job, finish_job, put_machine, drop_machine };
+    What what = What::put_job;
+    std::string id;
+    std::uint64_t version = 0;
+    std::uint64_t stamp = 0;
+    JobRecord job;
+    ListedMachine machine;
+};
+
+class PendingChanges {
+  public:
+    PendingChanges(const Config& config, Fleet& fleet, Pipelines& pipelines)
+        : config_(config), fleet_(fleet), pipelines_(pipelines) {}
+
+    // Cancellations and final states first, then new jobs, then machines, then done-sets, which
+    // wait a moment for company.
+    std::vector<Change> due(std::size_t most_operations, TimePoint now) const;
+    void written(const std::vector<Change>& changes, std::uint64_t stamp, TimePoint now);
+    // The record's stamp is another than thought: an earlier write went through unnoticed.
+    void restamp(Change::What what, const std::string& id, std::uint64_t stamp);
+
+  private:
+    class Gathering;
+    enum class Pass : std::uint8_t { finals, new_jobs, done_sets };
+    static bool belongs(const Job& job, Pass pass, TimePoint now);
+    void gather_jobs(Gathering& gathering, Pass pass, TimePoint now) const;
+    void gather_machines(Gathering& gathering) const;
+
+    const Config& config_;
+    Fleet& fleet_;
+    Pipelines& pipelines_;
+};
+
+}  // namespace bendspindle::core
--- /dev/null
+++ b/src/core/config.hpp
@@ -0,0 +1,41 @@
+// What the core is told once: the deployment's teams, times and aims, and the operators' choices.
+#pragma once
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "core/types.hpp"
+
+namespace bendspindle::core {
+
+struct Config {
+    std::string name;
+    std::vector<std::string> zones;
+    std::vector<Team> teams;
+    WorkerTimes workers;
+    Objectives objectives;
+    Seconds cycle{2};
+    // Idle machines are returned after this, when the learned demand does not want them.
+    Seconds idle_return{15};
+    // A machine that is deleted is paid for this long in any case.
+    Seconds least_paid{60};
+    // Standard deviations of learned demand that are kept ready beyond its mean.
+    double headroom = 1.0;
+    // Demand is averaged over about this long.
+    Seconds demand_memory{60};
+
+    // Null: no such team.
+    const Team* team(const std::string& name_of_team) const {
+        const auto it = std::find_if(teams.begin(), teams.end(),
+                                     [&](const Team& t) { return t.name == name_of_team; });
+        return it == teams.end() ? nullptr : &*it;
+    }
+    // Its place in `zones`; their number if it is none of them.
+    std::size_t zone_index(const std::string& zone) const {
+        return static_cast<std::size_t>(std::find(zones.begin(), zones.end(), zone) -
+                                        zones.begin());
+    }
+};
+
+}  // namespace bendspindle::core
--- /dev/null
+++ b/src/core/demand.hpp
@@ -0,0 +1,70 @@
+// Owner of what was learned of demand: how much of each class is wanted, how often its jobs come,
+// and what follows from that for a boot ahead.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+
+#include "core/catalog.hpp"
+#include "core/config.hpp"
+#include "core/estimates.hpp"
+
+namespace bendspindle::core {
+
+// What a class asks for now, in tasks.
+struct ClassDemand {
+    double wanted = 0;
+    double waiting = 0;
+};
+
+class Demand {
+  public:
+    Demand(const Config& config, const Catalog& catalog, const Estimates& estimates)
+        : config_(config), catalog_(catalog), estimates_(estimates) {}
+
+    void arrived(const JobSpec& spec, TimePoint now);
+    // A job of the class as of now.
+    void note_typical(const JobSpec& spec) { classes_[spec.job_class].typical = spec; }
+    void learn(const std::map<std::string, ClassDemand>& now_wanted, TimePoint now);
+
+    struct Target {
+        const JobSpec* typical;
+        std::uint32_t tasks;
+    };
+    // Tasks of each class to keep machines for, asked for now or not.
+    std::map<std::string, Target> targets(const std::map<std::string, ClassDemand>& now_wanted,
+                                          TimePoint now) const;
+
+  private:
+    struct Learned {
+        JobSpec typical;
+        double mean = 0;  // of tasks wanted at once
+        bool seen = false;
+        TimePoint last{};
+        Seconds gap{0};  // between arrivals of its jobs
+        TimePoint last_arrival{};
+        std::uint32_t arrivals = 0;
+        double recent = 0;  // arrivals of late, the older the less
+        double tasks = 0;   // of a job, on average
+        Seconds run{0};     // of a task by its owner, on average
+    };
+    // `ratio`: of the class's run times to its owners' estimates.
+    double headroom(const Learned& learned, double ratio) const;
+    static double still_coming(const Learned& learned, TimePoint now);
+    static std::uint32_t wanted_of_typical(const Learned& learned, double ratio);
+    double forecast(const Learned& learned, double ratio, const ClassDemand& demand) const;
+
+    const Config& config_;
+    const Catalog& catalog_;
+    const Estimates& estimates_;
+    std::map<std::string, Learned> classes_;
+    std::optional<TimePoint> since_;
+    TimePoint counted_until_{};
+    Seconds counted_{0};  // how long arrivals have been counted, the older time the less
+};
+
+// Part of a deadline's or an aim's slack that planning counts on.
+inline constexpr double slack_used = 0.6;
+
+}  // namespace bendspindle::core
--- /dev/null
+++ b/src/core/dispatch.cpp
@@ -0,0 +1,408 @@
+#include "core/dispatch.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bendspindle::core {
+
+namespace {
+
+constexpr Seconds ask_again{3};
+// A job that fails waits ever longer before the next try, up to the last of these.
+constexpr Seconds first_pause{0.5};
+constexpr Seconds longest_pause{30};
+constexpr std::uint32_t pauses_counted = 6;
+// Failures of this many jobs speak against the machine.
+constexpr std::size_t jobs_against_a_machine = 2;
+
+bool is_placement(const Job& job, const Machine& machine, const ReportedTask& task) {
+    const auto it = job.placed.find(task.index);
+    return it != job.placed.end() && it->second.machine == machine.name &&
+           it->second.attempt == task.attempt && it->second.stage != Placement::Stage::bound;
+}
+
+Order order_for(Order::Verb verb, const ReportedTask& task) {
+    return {verb, task.job, task.index, task.attempt, {}};
+}
+
+Seconds grace_to_save(const JobSpec& spec) {
+    return spec.checkpoint > Seconds{0} ? spec.save_time + Seconds{1} : Seconds{0};
+}
+
+}  // namespace
+
+std::vector<DirectCall> Dispatch::direct_calls(TimePoint now) {
+    std::vector<DirectCall> out;
+    for (auto& [name, machine] : fleet_.all()) {
+        if (machine.call_out || machine.address.empty() || machine.releasing) continue;
+        DirectCall call{
+            name, machine.address, epoch_, std::max<std::uint64_t>(machine.session, 1), {}};
+        if (machine.durable && !machine.confirmed) {
+            // Each recorded machine is asked at once after a takeover: a former controller that
+            // does not know it is one may keep the workers' reports to itself.
+            if (machine.last_call != TimePoint{} && between(machine.last_call, now) < ask_again)
+                continue;
+        } else {
+            stop_ready(machine, now, call.orders);
+            start_ready(machine, now, true, call.orders);
+            if (call.orders.empty()) continue;
+        }
+        machine.call_out = true;
+        machine.last_call = now;
+        out.push_back(std::move(call));
+    }
+    return out;
+}
+
+// A stop whose direct call failed travels with the next answer to a report.
+void Dispatch::repeat_stop(const Order& order) {
+    auto* job = pipelines_.find(order.job);
+    if (!job) return;
+    const auto placed = job->placed.find(order.index);
+    if (placed != job->placed.end() && placed->second.attempt == order.attempt)
+        placed->second.stop_sent = TimePoint{};
+}
+
+void Dispatch::settle_start(Machine& machine, const Order& order, const DirectCall& call,
+                            CallOutcome outcome, const Report* answer) {
+    if (outcome == CallOutcome::unknown) machine.unanswered.insert({order.job, order.attempt});
+    auto* job = pipelines_.find(order.job);
+    if (!job) return;
+    const auto placed = job->placed.find(order.index);
+    if (placed == job->placed.end()) return;
+    auto& placement = placed->second;
+    if (placement.attempt != order.attempt || placement.machine != call.machine ||
+        placement.stage != Placement::Stage::ordered || !placement.in_flight)
+        return;
+    if (outcome == CallOutcome::executed && answer) {
+        placement.in_flight = false;
+        placement.ordered_session = answer->session;
+    } else if (outcome == CallOutcome::rejected) {
+        placement.in_flight = false;
+        placement.stage = Placement::Stage::bound;
+    }
+}
+
+void Dispatch::called(const DirectCall& call, CallOutcome outcome, const Report* answer,
+                      TimePoint now) {
+    auto* machine = fleet_.find(call.machine);
+    if (!machine) return;
+    machine->call_out = false;
+    for (const auto& order : call.orders) {
+        if (order.verb == Order::Verb::stop && outcome != CallOutcome::executed) repeat_stop(order);
+        if (order.verb == Order::Verb::start) settle_start(*machine, order, call, outcome, answer);
+    }
+    if (!answer || answer->token > epoch_ || machine->has_seen(*answer)) return;
+    // The worker was asked under a wrong session; the right one is tried at once.
+    if (answer->session != call.session) machine->last_call = TimePoint{};
+    fleet_.observe(*machine, *answer, now);
+    if (answer->token < epoch_) return;
+    fleet_.confirm(*machine, now);
+    // What it would order goes out with the next report; nothing here depends on its arrival.
+    std::vector<Order> later_orders;
+    reconcile(*machine, *answer, Source::direct_answer, now, later_orders);
+}
+
+ReportAnswer Dispatch::report(const Report& report, TimePoint now) {
+    if (report.token > epoch_) return {false, epoch_, {}};
+    ReportAnswer answer{true, epoch_, {}};
+    // A machine whose release was answered is gone; this report was held up on its way.
+    if (fleet_.gone(report.machine)) return answer;
+    auto& machine = fleet_.meet(report, now);
+    // Guard against held-up reports: an older list must never replace a newer one.
+    if (machine.has_seen(report)) return answer;
+    fleet_.observe(machine, report, now);
+    // Guard against ran_twice: until the machine has seen this token, a start of the former
+    // epoch may still take effect after the list was made.
+    if (report.token < epoch_) return answer;
+    fleet_.confirm(machine, now);
+    reconcile(machine, report, Source::report, now, answer.orders);
+    if (machine.taken_at) drain(machine, now);
+    stop_ready(machine, now, answer.orders);
+    start_ready(machine, now, false, answer.orders);
+    if (!machine.held.empty()) machine.idle_since = now;
+    return answer;
+}
+
+// Most reports say what the one before said. They change nothing unless an order is on its way or
+// an exited task waits for its done-set.
+bool Dispatch::nothing_new(const Machine& machine, const Report& report) const {
+    const auto settled = [](const auto& entry) {
+        return entry.second.placement->stage == Placement::Stage::on;
+    };
+    const auto present = [](const ReportedTask& task) { return task.state != TaskState::exited; };
+    return machine.tasks == report.tasks && machine.tasks.size() == machine.held.size() &&
+           std::all_of(machine.held.begin(), machine.held.end(), settled) &&
+           std::all_of(machine.tasks.begin(), machine.tasks.end(), present);
+}
+
+void Dispatch::reconcile(Machine& machine, const Report& report, Source source, TimePoint now,
+                         std::vector<Order>& orders) {
+    if (nothing_new(machine, report)) return;
+    machine.tasks = report.tasks;
+    Seen seen;
+    for (const auto& task : report.tasks) take_over_task(machine, task, now, seen, orders);
+    std::vector<HeldKey> held;
+    for (const auto& [key, task] : machine.held) held.push_back(key);
+    settle_absent(machine, held, report, source, seen, now, orders);
+    count_strays(machine);
+    std::set<std::uint64_t> serials;
+    for (const auto& key : held) serials.insert(key.first);
+    for (const auto serial : serials) {
+        const auto it = pipelines_.all().find(serial);
+        if (it != pipelines_.all().end()) pipelines_.forget_if_over(*it->second);
+    }
+}
+
+void Dispatch::take_over_task(Machine& machine, const ReportedTask& task, TimePoint now, Seen& seen,
+                              std::vector<Order>& orders) {
+    auto* job = pipelines_.find(task.job);
+    const bool exited = task.state == TaskState::exited;
+    // All open jobs are in memory before the first report is handled, so an unknown one is
+    // over, and nothing of it is wanted.
+    if (!job || task.index >= job->spec.tasks) {
+        orders.push_back(order_for(exited ? Order::Verb::forget : Order::Verb::stop, task));
+        return;
+    }
+    job->last_attempt = std::max(job->last_attempt, task.attempt);
+    const bool ours = is_placement(*job, machine, task);
+    if (exited) {
+        if (ours) seen.insert({job->serial, task.index});
+        take_over_exit(machine, *job, task, now, orders);
+        return;
+    }
+    const auto it = job->placed.find(task.index);
+    if (!ours && it != job->placed.end()) {
+        orders.push_back(order_for(Order::Verb::stop, task));
+        return;
+    }
+    seen.insert({job->serial, task.index});
+    if (ours) {
+        auto& placement = it->second;
+        if (placement.stage != Placement::Stage::on) placement.since = now;
+        placement.stage = Placement::Stage::on;
+        placement.in_flight = false;
+        const bool was_running = placement.state == TaskState::running;
+        placement.state = task.state;
+        if (task.state == TaskState::running && !was_running) placement.running_from = now;
+    } else {
+        adopt(machine, *job, task, now);
+    }
+    if (task.state != TaskState::fetching) fleet_.note_image(machine, *job);
+}
+
+void Dispatch::take_over_exit(Machine& machine, Job& job, const ReportedTask& task, TimePoint now,
+                              std::vector<Order>& orders) {
+    task_exited(machine, job, task, now);
+    const bool done = task.cause == ExitCause::done;
+    // Guard against repeated work: a result may be forgotten only when the done-set that
+    // holds it is durable.
+    const bool keep = done && !job.over() && job.phase[task.index] != TaskPhase::durable;
+    const bool last = done && job.final == Final::done && !job.final_durable;
+    const bool may_return = machine.unanswered.contains({task.job, task.attempt});
+    if (!keep && !last && !may_return) orders.push_back(order_for(Order::Verb::forget, task));
+}
+
+// Guard against ran_twice after a takeover: whatever a confirmed machine runs takes the task's
+// place, wanted or not, so that nothing starts elsewhere before it is gone. This holds while the
+// catalog is not read yet, too: the type is judged only when known.
+void Dispatch::adopt(Machine& machine, Job& job, const ReportedTask& task, TimePoint now) {
+    const bool same_gang =
+        job.spec.kind != Kind::gang ||
+        std::all_of(job.placed.begin(), job.placed.end(),
+                    [&](const auto& other) { return other.second.attempt == task.attempt; });
+    const bool wanted = !job.over() && job.phase[task.index] == TaskPhase::idle && same_gang &&
+                        (!machine.type_known || fleet_.allows(job.spec, machine));
+    Placement placement;
+    placement.machine = machine.name;
+    placement.attempt = task.attempt;
+    placement.stage = Placement::Stage::on;
+    placement.state = task.state;
+    placement.since = placement.running_from = now;
+    if (!wanted) Pipelines::stop(placement, Seconds{0});
+    pipelines_.hold(machine, job, task.index, placement);
+}
+
+// What the machine holds by our books but does not report.
+void Dispatch::settle_absent(Machine& machine, const std::vector<HeldKey>& held,
+                             const Report& report, Source source, const Seen& seen, TimePoint now,
+                             std::vector<Order>& orders) {
+    for (const auto& key : held) {
+        const auto entry = machine.held.find(key);
+        if (seen.contains(key) || entry == machine.held.end()) continue;
+        auto& job = *entry->second.job;
+        auto& placement = *entry->second.placement;
+        if (placement.stage == Placement::Stage::bound) continue;
+        const bool same_session = report.session == placement.ordered_session;
+        if (placement.in_flight && same_session) {
+            // Once the call is given up, the same start is repeated the sure way: the worker
+            // then has the attempt, and a late copy of the call does nothing.
+            if (!machine.call_out && !job.over() && !placement.stopping)
+                orders.push_back(
+                    {Order::Verb::start, job.spec.id, key.second, placement.attempt, {}});
+            continue;
+        }
+        const auto attempt = placement.attempt;
+        if (placement.stage == Placement::Stage::ordered) {
+            // Guard against ran_twice: the answer to a direct call may overtake the answer to a
+            // report, and the start that the latter carries is still to come.
+            if (source == Source::direct_answer && same_session) continue;
+            // The worker sent this report after it took or gave up the answer with the start, so
+            // the start has not happened and never will.
+            ++counts_.refused_starts;
+            if (!job.over() && !placement.stopping && job.spec.kind != Kind::gang) {
+                placement.stage = Placement::Stage::bound;
+                placement.since = now;
+                continue;
+            }
+            pipelines_.drop(job, key.second);
+            if (!job.over()) pipelines_.break_gang(job, attempt);
+            continue;
+        }
+        ++counts_.lost;
+        pipelines_.drop(job, key.second);
+        pipelines_.break_gang(job, attempt);
+    }
+}
+
+void Dispatch::count_strays(Machine& machine) const {
+    machine.strays = Resources{};
+    for (const auto& task : machine.tasks) {
+        if (task.state == TaskState::exited) continue;
+        const auto* job = pipelines_.find(task.job);
+        if (job && !machine.held.contains({job->serial, task.index}))
+            machine.strays += job->spec.need;
+    }
+}
+
+void Dispatch::task_exited(Machine& machine, Job& job, const ReportedTask& task, TimePoint now) {
+    const bool ours = is_placement(job, machine, task);
+    if (task.cause == ExitCause::done) {
+        if (ours) {
+            const auto& placement = job.placed.at(task.index);
+            if (placement.stage == Placement::Stage::on && placement.state == TaskState::running)
+                estimates_.ran(job, between(placement.running_from, now));
+            pipelines_.drop(job, task.index);
+        }
+        machine.failed_jobs.clear();
+        fleet_.note_image(machine, job);
+        pipelines_.complete(job, task.index, now);
+        return;
+    }
+    if (!ours) return;
+    pipelines_.drop(job, task.index);
+    if (task.cause == ExitCause::error) task_failed(machine, job, now);
+    if (!job.over()) pipelines_.break_gang(job, task.attempt);
+}
+
+// Failures of several jobs speak against the machine, failures everywhere against the job.
+void Dispatch::task_failed(Machine& machine, Job& job, TimePoint now) {
+    ++counts_.errors;
+    ++job.errors;
+    machine.failed_jobs.insert(job.spec.id);
+    if (machine.failed_jobs.size() >= jobs_against_a_machine) machine.failing = true;
+    const double doublings = std::min(job.errors, pauses_counted) - 1.0;
+    job.not_before = later(now, std::min(longest_pause, first_pause * std::pow(2.0, doublings)));
+}
+
+void Dispatch::drain(TimePoint now) {
+    for (auto& [name, machine] : fleet_.all())
+        if (machine.draining()) drain(machine, now);
+}
+
+void Dispatch::drain(Machine& machine, TimePoint now) {
+    std::vector<std::pair<Job*, std::uint32_t>> unbind;
+    for (const auto& [key, task] : machine.held) {
+        auto& job = *task.job;
+        auto& placement = *task.placement;
+        if (placement.stage == Placement::Stage::bound) {
+            unbind.push_back({&job, key.second});
+            continue;
+        }
+        if (placement.stopping) continue;
+        const bool saves = job.spec.checkpoint > Seconds{0};
+        if (machine.taken_at) {
+            const auto left = between(now, *machine.taken_at);
+            // What ends before the machine is taken may go on; what cannot save has nothing to
+            // lose by trying.
+            if (!saves || estimates_.remaining(job, placement, now) < left) continue;
+            if (left > job.spec.save_time + config_.workers.report + Seconds{1}) continue;
+        }
+        if (job.spec.kind == Kind::gang)
+            Pipelines::stop_all(job, grace_to_save(job.spec));
+        else
+            Pipelines::stop(placement, grace_to_save(job.spec));
+    }
+    for (const auto& [job, index] : unbind) {
+        // A gang broken for an earlier entry has been unbound as a whole.
+        const auto it = job->placed.find(index);
+        if (it == job->placed.end()) continue;
+        const auto attempt = it->second.attempt;
+        pipelines_.drop(*job, index);
+        pipelines_.break_gang(*job, attempt);
+    }
+}
+
+void Dispatch::stop_ready(Machine& machine, TimePoint now, std::vector<Order>& orders) const {
+    if (!machine.confirmed) return;
+    for (const auto& [key, task] : machine.held) {
+        auto& placement = *task.placement;
+        if (placement.stage != Placement::Stage::on || !placement.stopping) continue;
+        // Once told with grace, a task saves on its own; the order is repeated only when the
+        // answer that carried it may have been lost.
+        const bool lost = between(placement.stop_sent, now) > config_.workers.report * 2;
+        if (placement.state == TaskState::saving && placement.grace > Seconds{0}) continue;
+        if (placement.stop_sent != TimePoint{} && !lost) continue;
+        placement.stop_sent = now;
+        orders.push_back(
+            {Order::Verb::stop, task.job->spec.id, key.second, placement.attempt, placement.grace});
+    }
+}
+
+void Dispatch::start_ready(Machine& machine, TimePoint now, bool direct,
+                           std::vector<Order>& orders) {
+    if (!fleet_.usable(machine, now)) return;
+    struct Ready {
+        std::uint32_t index;
+        HeldTask task;
+    };
+    std::vector<Ready> ready;
+    Resources taken = machine.strays;
+    for (const auto& [key, task] : machine.held) {
+        if (task.placement->stage == Placement::Stage::bound)
+            ready.push_back({key.second, task});
+        else
+            taken += task.job->spec.need;
+    }
+    if (ready.empty()) return;
+    // The ready list: the shortest-makespan pipeline's task first, ties to the longest RPM.
+    std::stable_sort(ready.begin(), ready.end(), [](const Ready& a, const Ready& b) {
+        const auto& x = *a.task.placement;
+        const auto& y = *b.task.placement;
+        if (x.rank != y.rank) return x.rank < y.rank;
+        if (x.makespan != y.makespan) return x.makespan < y.makespan;
+        return x.rpm > y.rpm;
+    });
+    const auto& size = catalog_[machine.type].size;
+    for (const auto& [index, task] : ready) {
+        const auto* job = task.job;
+        if (!(size - taken).holds(job->spec.need)) break;
+        auto& placement = *task.placement;
+        taken += job->spec.need;
+        placement.stage = Placement::Stage::ordered;
+        placement.ordered_session = machine.session;
+        placement.in_flight = direct;
+        placement.since = now;
+        ++counts_.starts;
+        orders.push_back({Order::Verb::start, job->spec.id, index, placement.attempt, {}});
+    }
+}
+
+void Dispatch::released(const std::string& name) {
+    auto* machine = fleet_.find(name);
+    if (!machine) return;
+    counts_.lost += pipelines_.lose(*machine);
+    fleet_.remove(name);
+}
+
+}  // namespace bendspindle::core
--- /dev/null
+++ b/src/core/estimates.cpp
@@ -0,0 +1,46 @@
+#include "core/estimates.hpp"
+
+#include <algorithm>
+
+namespace bendspindle::core {
+
+namespace {
+
+constexpr double least_ratio = 0.2;
+constexpr double most_ratio = 5.0;
+constexpr Seconds least_run{0.5};
+
+}  // namespace
+
+void Estimates::ran(Job& job, Seconds time) {
+    ++job.run_count;
+    job.run_mean += (time - job.run_mean) / std::min<double>(job.run_count, 20);
+    if (job.spec.estimate.count() <= 0) return;
+    auto& learned = classes_[job.spec.job_class];
+    const double ratio =
+        std::clamp(time.count() / job.spec.estimate.count(), least_ratio, most_ratio);
+    ++learned.samples;
+    learned.ratio += (ratio - learned.ratio) / std::min<double>(learned.samples + 3, 30);
+}
+
+double Estimates::ratio(const std::string& job_class) const {
+    const auto it = classes_.find(job_class);
+    return it == classes_.end() ? 1 : it->second.ratio;
+}
+
+Seconds Estimates::expected_run(const Job& job) const {
+    if (job.run_count > 0) return std::max(job.run_mean, least_run);
+    return std::max(job.spec.estimate * ratio(job.spec.job_class), least_run);
+}
+
+Seconds Estimates::remaining(const Job& job, const Placement& placement, TimePoint now) const {
+    const auto run = expected_run(job);
+    if (placement.stage != Placement::Stage::on || placement.state == TaskState::fetching ||
+        placement.state == TaskState::waiting)
+        return run;
+    const auto ran = between(placement.running_from, now);
+    // A task that outlives its estimate is taken to need a quarter of what it has had, again.
+    return std::max(run - ran, ran * 0.25);
+}
+
+}  // namespace bendspindle::core
--- /dev/null
+++ b/src/core/estimates.hpp
@@ -0,0 +1,29 @@
+// Owner of what was learned of run times: how far the owners' estimates are off, by class.
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "core/job.hpp"
+
+namespace bendspindle::core {
+
+class Estimates {
+  public:
+    // A task of the job completed after running this long.
+    void ran(Job& job, Seconds time);
+    // Actual over estimated run time of a class; 1 while nothing is known of it.
+    double ratio(const std::string& job_class) const;
+    Seconds expected_run(const Job& job) const;
+    // How much longer a placed task is expected to take.
+    Seconds remaining(const Job& job, const Placement& placement, TimePoint now) const;
+
+  private:
+    struct Learned {
+        double ratio = 1;
+        std::uint32_t samples = 0;
+    };
+    std::map<std::string, Learned> classes_;
+};
+
+}  // namespace bendspindle::core
--- /dev/null
+++ b/src/core/fleet.hpp
@@ -0,0 +1,144 @@
+// Owner of the machines: which there are, what is known of each, what each holds, and what proves
+// that one is gone.
+//
+//  - The token is the epoch of the view. A machine is *confirmed* once a message of its own shows
+//    it; from then on its task list is the truth (docs/design.md, "Placing anew").
+//  - Only `remove` says that a machine is gone, and only an answered release leads to it.
+//
+// What a machine holds is an index into the jobs' placements; `Pipelines` changes both together.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/catalog.hpp"
+#include "core/config.hpp"
+#include "core/dsmf.hpp"
+#include "core/job.hpp"
+#include "core/types.hpp"
+
+namespace bendspindle::core {
+
+// A placement on a machine, with a short way to it: a machine's list is walked far more often
+// than it changes. Both live as long as the entry (`Pipelines::drop` removes them together).
+struct HeldTask {
+    Job* job = nullptr;
+    Placement* placement = nullptr;
+};
+using HeldKey = std::pair<std::uint64_t, std::uint32_t>;  // job serial, task
+
+struct CachedImage {
+    dsmf::ImageId id = 0;
+    double gb = 0;
+};
+
+struct Machine {
+    std::string name;
+    std::string address;
+    std::size_t type = 0;
+    bool type_known = false;
+    std::string type_name;
+    std::string zone;
+    bool spot = false;
+
+    bool durable = false;    // recorded in the state service: starts may be ordered
+    bool confirmed = false;  // a report of its own has shown this epoch's token
+    bool reported = false;   // any report in this epoch
+    bool releasing = false;
+    bool failing = false;  // tasks of several jobs failed on it
+    std::uint64_t stamp = 0;
+    std::uint64_t session = 0;
+    std::uint64_t seq = 0;
+    TimePoint first_seen{};
+    TimePoint last_report{};
+    TimePoint idle_since{};
+    TimePoint loaded_at{};
+    std::optional<TimePoint> unwanted_since;  // planning has had no use for it
+    bool closing = false;                     // gets no more tasks, and is returned when empty
+    std::optional<TimePoint> taken_at;        // spot notice: when the cloud takes it
+    std::vector<ReportedTask> tasks;          // of the last report
+    std::map<HeldKey, HeldTask> held;
+    Resources strays;                 // of tasks in the last report that are no placement of ours
+    std::vector<CachedImage> images;  // most recently used last
+    std::set<std::string> failed_jobs;
+    bool call_out = false;  // one direct call at a time
+    TimePoint last_call{};
+    // Attempts whose direct start was never answered: a late copy may still arrive, and would
+    // start them again if the worker had been told to forget them.
+    std::set<std::pair<std::string, std::uint64_t>> unanswered;
+
+    bool draining() const { return releasing || failing || taken_at.has_value(); }
+    // What its tasks take, bound ones included.
+    Resources used() const;
+    // Whether a message of this session and sequence is older than one already seen.
+    bool has_seen(const Report& report) const {
+        return std::pair(report.session, report.seq) <= std::pair(session, seq);
+    }
+};
+
+class Fleet {
+  public:
+    Fleet(const Config& config, const Catalog& catalog) : config_(config), catalog_(catalog) {}
+
+    std::map<std::string, Machine>& all() { return machines_; }
+    const std::map<std::string, Machine>& all() const { return machines_; }
+    Machine& at(const std::string& name) { return machines_.at(name); }
+    const Machine& at(const std::string& name) const { return machines_.at(name); }
+    Machine* find(const std::string& name);
+
+    void catalog_changed();
+    // Ways in which machines become known.
+    void load(const ListedMachine& record, std::uint64_t stamp, TimePoint now);
+    Machine& meet(const Report& report, TimePoint now);
+    void rented(const RentRequest& request, const std::vector<std::string>& names, TimePoint now);
+    void listed(const std::vector<ListedMachine>& machines, TimePoint now);
+
+    // What a message of the machine's own says of it.
+    void observe(Machine& machine, const Report& report, TimePoint now);
+    // Its message has shown this epoch's token.
+    void confirm(Machine& machine, TimePoint now);
+    // Marks for release what is silent, never came up, fails, or holds what must be gone.
+    void watch(TimePoint now);
+    // Its release was answered: it is gone, and stays so whatever is heard of it later.
+    void remove(const std::string& name);
+    bool gone(const std::string& name) const { return gone_.contains(name); }
+
+    // Whether tasks may be placed and started on it.
+    bool usable(const Machine& machine, TimePoint now) const;
+    bool allows(const JobSpec& spec, const Machine& machine) const {
+        return machine.type_known && allowed(spec, machine.type_name, machine.zone, machine.spot);
+    }
+    // Could a job of an older epoch have tasks on machines that are not confirmed yet?
+    bool in_doubt(const Job& job) const;
+    void note_image(Machine& machine, const Job& job);
+
+    // Records in the state service.
+    bool wants_record(const Machine& machine) const {
+        return !machine.durable && !machine.releasing && machine.type_known && machine.reported;
+    }
+    // Gone machines whose records are to go, with the records' stamps.
+    const std::map<std::string, std::uint64_t>& records_to_drop() const { return dropping_; }
+    void recorded(const std::string& name, std::uint64_t stamp);
+    void record_dropped(const std::string& name) { dropping_.erase(name); }
+    void restamp(const std::string& name, std::uint64_t stamp);
+    // `stamp` 0: there is no record any more.
+    void restamp_dropping(const std::string& name, std::uint64_t stamp);
+
+  private:
+    void set_type(Machine& machine);
+
+    const Config& config_;
+    const Catalog& catalog_;
+    std::map<std::string, Machine> machines_;
+    std::map<std::string, std::uint64_t> dropping_;
+    std::set<std::string> gone_;
+    std::deque<std::string> gone_order_;
+};
+
+}  // namespace bendspindle::core
--- a/src/core/job.hpp
+++ b/src/core/job.hpp
@@ -34,7 +34,7 @@
 struct Placement {
     enum class Stage : std::uint8_t {
         bound,    // in a machine's ready list; no order given
-        ordered,  // a start went out with the answer to report `ordered_at`
+        ordered,  // a start went out
         on,       // the machine has reported it
     };
     std::string machine;
@@ -42,7 +42,6 @@
     Stage stage = Stage::bound;
     TaskState state = TaskState::fetching;
     std::uint64_t ordered_session = 0;
-    std::uint64_t ordered_seq = 0;
     // The start went out in a direct call and its outcome is not known: the call may still be on
     // its way, so the task's absence from a report proves nothing.
     bool in_flight = false;
--- /dev/null
+++ b/src/core/preemption.cpp
@@ -0,0 +1,222 @@
+#include "core/preemption.hpp"
+
+#include <algorithm>
+
+namespace bendspindle::core {
+
+namespace {
+
+// An array may make room for this many of its tasks in one cycle; the next cycle sees the effect.
+constexpr std::uint32_t array_preempts_a_cycle = 8;
+// A reservation made by preemption outlives the save time of its victims by this.
+constexpr Seconds hold_beyond_save{8};
+// What a step of priority weighs, in seconds of lost work.
+constexpr double priority_step_s = 10;
+
+bool saves(const Job& job) {
+    return job.spec.checkpoint > Seconds{0};
+}
+
+bool may_be_stopped(const Placement& placement) {
+    return placement.stage != Placement::Stage::bound && !placement.stopping;
+}
+
+Claim claim_of(const Job& job, const Standing& standing) {
+    return {job.spec.priority, standing.guaranteed(job), job.spec.team};
+}
+
+}  // namespace
+
+bool Claim::may_stop(const Claim& other) const {
+    // Guard against two jobs that stop each other in turn: what a guarantee has taken
+    // back is not taken again by a borrower's priority.
+    if (other.guaranteed && !guaranteed) return false;
+    if (other.priority < priority) return true;
+    return guaranteed && !other.guaranteed && other.team != team;
+}
+
+RoomSearch::RoomSearch(const Job& job, const Standing& standing, const Catalog& catalog,
+                       const Fleet& fleet, const std::vector<Machine*>& candidates, TimePoint now)
+    : job_(job),
+      standing_(standing),
+      catalog_(catalog),
+      fleet_(fleet),
+      candidates_(candidates),
+      now_(now),
+      claim_(claim_of(job, standing)) {}
+
+double RoomSearch::cost_of_stopping(const Job& other, const Placement& placement) const {
+    const auto ran =
+        placement.state == TaskState::running ? between(placement.running_from, now_) : Seconds{0};
+    double cost = saves(other) ? other.spec.save_time.count() : ran.count();
+    cost += priority_step_s * static_cast<int>(other.spec.priority);
+    if (other.spec.kind == Kind::gang) cost *= other.spec.tasks;
+    return cost * (1 + other.spec.need.gpus);
+}
+
+double RoomSearch::cost_of_fetching(const Machine& machine) const {
+    const bool cached = std::any_of(machine.images.begin(), machine.images.end(),
+                                    [&](const CachedImage& e) { return e.id == job_.image; });
+    if (cached) return 0;
+    const auto rate = std::max(catalog_[machine.type].fetch_gb_per_s, 1e-3);
+    return job_.spec.image_gb / rate * job_.spec.need.gpus;
+}
+
+std::vector<Victim> RoomSearch::victims_on(const Machine& machine) const {
+    std::vector<Victim> out;
+    for (const auto& [key, task] : machine.held) {
+        if (!may_be_stopped(*task.placement) || spoken_for_.contains(key)) continue;
+        if (!claim_.may_stop(claim_of(*task.job, standing_))) continue;
+        out.push_back({task.job, key.second, cost_of_stopping(*task.job, *task.placement)});
+    }
+    std::sort(out.begin(), out.end(),
+              [](const Victim& a, const Victim& b) { return a.cost < b.cost; });
+    return out;
+}
+
+std::optional<RoomPlan> RoomSearch::plan_on(Machine& machine) const {
+    RoomPlan plan{&machine, {}, 0};
+    Resources free = catalog_[machine.type].size - machine.used();
+    if (const auto it = planned_.find(&machine); it != planned_.end()) free -= it->second;
+    for (const auto& victim : victims_on(machine)) {
+        if (free.holds(job_.spec.need)) break;
+        free += victim.job->spec.need;
+        plan.cost += victim.cost;
+        plan.victims.push_back(victim);
+    }
+    // An array has had the room that is free already. A gang that lacks a machine or two
+    // stops others only there and takes the rest as it is.
+    const bool gang = job_.spec.kind == Kind::gang;
+    if (!free.holds(job_.spec.need) || (plan.victims.empty() && !gang)) return std::nullopt;
+    plan.cost += cost_of_fetching(machine);
+    return plan;
+}
+
+void RoomSearch::take(const RoomPlan& plan) {
+    auto& planned = planned_[plan.machine];
+    for (const auto& victim : plan.victims) {
+        spoken_for_.insert({victim.job->serial, victim.index});
+        planned -= victim.job->spec.need;
+    }
+    planned += job_.spec.need;
+}
+
+// The cheapest plan first; only the plan of the machine just taken changes by that.
+std::vector<RoomPlan> RoomSearch::plans(const std::optional<std::string>& zone,
+                                        std::uint32_t want) {
+    const auto dearer = [](const RoomPlan& a, const RoomPlan& b) { return a.cost > b.cost; };
+    spoken_for_.clear();
+    planned_.clear();
+    std::vector<RoomPlan> heap;
+    for (auto* machine : candidates_) {
+        if (!fleet_.allows(job_.spec, *machine) || (zone && machine->zone != *zone)) continue;
+        if (auto plan = plan_on(*machine)) heap.push_back(std::move(*plan));
+    }
+    std::make_heap(heap.begin(), heap.end(), dearer);
+    std::vector<RoomPlan> out;
+    while (out.size() < want && !heap.empty()) {
+        std::pop_heap(heap.begin(), heap.end(), dearer);
+        auto best = std::move(heap.back());
+        heap.pop_back();
+        take(best);
+        auto& machine = *best.machine;
+        out.push_back(std::move(best));
+        if (auto again = plan_on(machine)) {
+            heap.push_back(std::move(*again));
+            std::push_heap(heap.begin(), heap.end(), dearer);
+        }
+    }
+    return out;
+}
+
+std::vector<RoomPlan> RoomSearch::plans_in_best_zone(const std::vector<std::string>& zones,
+                                                     std::uint32_t want) {
+    std::vector<RoomPlan> best;
+    double least = std::numeric_limits<double>::max();
+    for (const auto& zone : zones) {
+        auto here = plans(zone, want);
+        double cost = 0;
+        for (const auto& plan : here) cost += plan.cost;
+        if (here.size() < best.size() || (here.size() == best.size() && cost >= least)) continue;
+        best = std::move(here);
+        least = cost;
+    }
+    return best;
+}
+
+std::vector<RoomPlan> Preemption::plans_for(const Job& job, const Standing& standing,
+                                            const std::vector<Machine*>& candidates,
+                                            TimePoint now) const {
+    const bool gang = job.spec.kind == Kind::gang;
+    auto want = std::min(job.idle_count(), standing.room(job));
+    if (gang && want < job.spec.tasks) return {};
+    if (!gang) want = std::min(want, array_preempts_a_cycle);
+    RoomSearch search(job, standing, catalog_, fleet_, candidates, now);
+    std::vector<RoomPlan> plans;
+    if (!job.spec.one_zone)
+        plans = search.plans(std::nullopt, want);
+    else if (!job.placed.empty())
+        plans = search.plans(fleet_.at(job.placed.begin()->second.machine).zone, want);
+    else
+        plans = search.plans_in_best_zone(config_.zones, want);
+    // Without anybody to stop, the room there is has been refused by DSMF for its own reasons.
+    const bool stops_nobody = std::all_of(
+        plans.begin(), plans.end(), [](const RoomPlan& plan) { return plan.victims.empty(); });
+    if (stops_nobody || (gang && plans.size() < want)) return {};
+    return plans;
+}
+
+Seconds Preemption::stop(const Victim& victim) {
+    auto& job = *victim.job;
+    const auto grace = saves(job) ? job.spec.save_time + Seconds{1} : Seconds{0};
+    ++stopped_;
+    // A gang is stopped as a whole, in one go, so that its progress is saved.
+    if (job.spec.kind == Kind::gang)
+        Pipelines::stop_all(job, grace);
+    else
+        Pipelines::stop(job.placed.at(victim.index), grace);
+    return grace;
+}
+
+void Preemption::carry_out(Job& job, const std::vector<RoomPlan>& plans, Standing& standing,
+                           TimePoint now) {
+    const bool gang = job.spec.kind == Kind::gang;
+    auto attempt = pipelines_.next_attempt();
+    for (const auto& plan : plans) {
+        Seconds longest{0};
+        for (const auto& victim : plan.victims) longest = std::max(longest, stop(victim));
+        if (!gang) attempt = pipelines_.next_attempt();
+        const auto run = estimates_.expected_run(job);
+        Placement placement;
+        placement.attempt = attempt;
+        placement.rank = standing.rank(job);
+        placement.makespan = placement.rpm = run;
+        placement.held_until = later(now, longest + hold_beyond_save + config_.workers.report);
+        pipelines_.bind(job, *plan.machine, placement, now);
+        standing.take(job);
+    }
+}
+
+void Preemption::make_room(const std::vector<Job*>& waiting, Standing& standing, TimePoint now) {
+    // On most cycles nobody waiting may stop anything, and no machine needs to be looked at.
+    std::set<Claim> stoppable;
+    std::vector<Machine*> candidates;
+    for (auto& [name, machine] : fleet_.all()) {
+        if (!fleet_.usable(machine, now) || machine.closing) continue;
+        candidates.push_back(&machine);
+        for (const auto& [key, task] : machine.held)
+            if (may_be_stopped(*task.placement)) stoppable.insert(claim_of(*task.job, standing));
+    }
+    for (auto* job : waiting) {
+        const auto claim = claim_of(*job, standing);
+        if (claim.priority == Priority::low && !claim.guaranteed) continue;
+        if (job->spec.kind == Kind::gang && job->spec.tasks > 1 && job->spec.spread) continue;
+        if (std::none_of(stoppable.begin(), stoppable.end(),
+                         [&](const Claim& other) { return claim.may_stop(other); }))
+            continue;
+        const auto plans = plans_for(*job, standing, candidates, now);
+        if (!plans.empty()) carry_out(*job, plans, standing, now);
+    }
+}
+
+}  // namespace bendspindle::core
--- /dev/null
+++ b/src/core/preemption.hpp
@@ -0,0 +1,103 @@
+// Makes room for waiting jobs by stopping tasks that they may stop: whom, where, and at what cost.
+#pragma once
+
+#include <cstdint>
+#include <limits>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/catalog.hpp"
+#include "core/config.hpp"
+#include "core/estimates.hpp"
+#include "core/fleet.hpp"
+#include "core/ledger.hpp"
+#include "core/pipelines.hpp"
+
+namespace bendspindle::core {
+
+// What decides who may stop whom. The team's name is the job's own.
+struct Claim {
+    Priority priority = Priority::low;
+    bool guaranteed = false;
+    std::string_view team;
+
+    bool may_stop(const Claim& other) const;
+    auto operator<=>(const Claim&) const = default;
+};
+
+struct Victim {
+    Job* job = nullptr;
+    std::uint32_t index = 0;
+    double cost = 0;
+};
+
+// Room for one task on one machine, and who is to be stopped for it; nobody, if it is free.
+struct RoomPlan {
+    Machine* machine = nullptr;
+    std::vector<Victim> victims;
+    double cost = 0;
+};
+
+// One job's search for room. Plans that it has handed out are taken as carried out by the next.
+class RoomSearch {
+  public:
+    RoomSearch(const Job& job, const Standing& standing, const Catalog& catalog, const Fleet& fleet,
+               const std::vector<Machine*>& candidates, TimePoint now);
+    // The cheapest plans for up to `want` tasks, in one zone or anywhere. Forgets earlier ones.
+    std::vector<RoomPlan> plans(const std::optional<std::string>& zone, std::uint32_t want);
+    // Of a job whose tasks must be in one zone: where most of them find room, at the least cost.
+    std::vector<RoomPlan> plans_in_best_zone(const std::vector<std::string>& zones,
+                                             std::uint32_t want);
+
+  private:
+    std::optional<RoomPlan> plan_on(Machine& machine) const;
+    std::vector<Victim> victims_on(const Machine& machine) const;
+    double cost_of_stopping(const Job& other, const Placement& placement) const;
+    double cost_of_fetching(const Machine& machine) const;
+    void take(const RoomPlan& plan);
+
+    const Job& job_;
+    const Standing& standing_;
+    const Catalog& catalog_;
+    const Fleet& fleet_;
+    const std::vector<Machine*>& candidates_;
+    const TimePoint now_;
+    const Claim claim_;
+    std::set<HeldKey> spoken_for_;
+    std::map<const Machine*, Resources> planned_;
+};
+
+class Preemption {
+  public:
+    Preemption(const Config& config, const Catalog& catalog, Fleet& fleet, Pipelines& pipelines,
+               const Estimates& estimates)
+        : config_(config),
+          catalog_(catalog),
+          fleet_(fleet),
+          pipelines_(pipelines),
+          estimates_(estimates) {}
+
+    // `waiting` in the order of DSMF: what it could not bind.
+    void make_room(const std::vector<Job*>& waiting, Standing& standing, TimePoint now);
+    std::uint64_t stopped() const { return stopped_; }
+
+  private:
+    std::vector<RoomPlan> plans_for(const Job& job, const Standing& standing,
+                                    const std::vector<Machine*>& candidates, TimePoint now) const;
+    void carry_out(Job& job, const std::vector<RoomPlan>& plans, Standing& standing, TimePoint now);
+    // Stops a task, or its whole gang. Returns how long it may take to save.
+    Seconds stop(const Victim& victim);
+
+    const Config& config_;
+    const Catalog& catalog_;
+    Fleet& fleet_;
+    Pipelines& pipelines_;
+    const Estimates& estimates_;
+    std::uint64_t stopped_ = 0;
+};
+
+}  // namespace bendspindle::core
--- /dev/null
+++ b/src/core/renting.hpp
@@ -0,0 +1,89 @@
+// What to rent and what to return. Demand is packed onto the machines there are; what does not
+// fit is rented, and a machine that nothing is packed on is returned once it has idled.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/catalog.hpp"
+#include "core/config.hpp"
+#include "core/demand.hpp"
+#include "core/estimates.hpp"
+#include "core/fleet.hpp"
+#include "core/ledger.hpp"
+#include "core/pipelines.hpp"
+
+namespace bendspindle::core {
+
+struct RentPlan {
+    std::vector<RentRequest> rent;
+    std::vector<std::string> release;
+};
+
+// Machines of one type, zone and kind: what is decided for a pool is decided once.
+struct PoolKey {
+    std::string type;
+    std::string zone;
+    bool spot = false;
+    auto operator<=>(const PoolKey&) const = default;
+};
+
+class Packing;
+
+class Renting {
+  public:
+    Renting(const Config& config, const Catalog& catalog, Fleet& fleet, const Pipelines& pipelines,
+            const Estimates& estimates, const Ledger& ledger, std::uint64_t epoch)
+        : config_(config),
+          catalog_(catalog),
+          fleet_(fleet),
+          pipelines_(pipelines),
+          estimates_(estimates),
+          ledger_(ledger),
+          demand_(config, catalog, estimates),
+          epoch_(epoch) {}
+
+    void arrived(const JobSpec& spec, TimePoint now) { demand_.arrived(spec, now); }
+    RentPlan plan(TimePoint now);
+    void rented(const RentRequest& request, const std::vector<std::string>& names, TimePoint now);
+
+  private:
+    // Tasks to find room for: of a job, or of a class that was learned to ask for them.
+    struct Want {
+        const JobSpec* spec = nullptr;
+        std::uint32_t tasks = 0;
+        bool expected = false;  // learned, not asked for yet
+        int rank = 0;
+    };
+    // A gang's task that fills a machine, and when it is expected to end.
+    struct Ending {
+        Seconds in{0};
+        const Job* job = nullptr;
+        const Machine* machine = nullptr;
+    };
+    std::vector<Want> wants(TimePoint now);
+    std::vector<Ending> endings(TimePoint now) const;
+    bool waits_for_ending(const Job& job, std::vector<Ending>& endings, TimePoint now) const;
+    std::uint32_t wanted(const Job& job, TimePoint now) const;
+    // How much longer a waiting job may wait for a machine to free up, by its class's aim.
+    Seconds patience(const Job& job, TimePoint now) const;
+    Packing pack(const std::vector<Want>& wants, TimePoint now) const;
+    std::vector<std::string> returns(const Packing& packing, TimePoint now);
+
+    const Config& config_;
+    const Catalog& catalog_;
+    Fleet& fleet_;
+    const Pipelines& pipelines_;
+    const Estimates& estimates_;
+    const Ledger& ledger_;
+    Demand demand_;
+    const std::uint64_t epoch_;
+    std::uint64_t next_request_ = 0;
+    std::map<PoolKey, TimePoint> refused_until_;
+};
+
+}  // namespace bendspindle::core
--- a/tests/standin/world.cpp
+++ b/tests/standin/world.cpp
@@ -318,7 +318,7 @@
                 workers_.erase(name);
                 released_.insert(name);
             }
-            controller_->released(plan.release, at());
+            controller_->released(plan.release);
             for (const auto& request : plan.rent) {
                 if (!auto_rent_) continue;
                 std::vector<std::string> names;
