A catalog that comes while records load reaches the new controller

The catalog came between the moment the loading thread had read the types (none yet) and the moment the controller was installed; reading it found no controller to tell, and the next reading was a minute away. Change: the office owns the types and tells them to a controller when it is installed. A takeover logs when records were loaded, half and all machines confirmed, and the first start ordered. Ruled out: slow confirmation; half of 1311 machines had confirmed after 1.3 s.

--- a/src/app/cloud_desk.cpp
+++ b/src/app/cloud_desk.cpp
@@ -34,11 +34,6 @@
                            duration_cast<Clock::duration>(least_list_every));
 }
 
-std::vector<core::MachineType> CloudDesk::types() const {
-    const std::lock_guard lock(types_mutex_);
-    return types_;
-}
-
 void CloudDesk::pace() {
     std::this_thread::sleep_until(next_call_);
     next_call_ = Clock::now() + spacing_;
@@ -47,19 +42,14 @@
 void CloudDesk::read_catalog() {
     pace();
     const auto answer = client_.get(wire::path::catalog);
-    const auto types = answer && answer->status == 200 ? wire::parse_catalog(answer->body)
+    auto types = answer && answer->status == 200 ? wire::parse_catalog(answer->body)
                                                        : std::nullopt;
     if (!types || types->empty()) {
         next_catalog_ = Clock::now() + catalog_retry;
         return;
     }
     next_catalog_ = Clock::now() + catalog_every;
-    {
-        const std::lock_guard lock(types_mutex_);
-        types_ = *types;
-    }
-    const std::lock_guard lock(office_.mutex);
-    if (office_.controller) office_.controller->set_types(*types);
+    office_.learn_types(std::move(*types));
 }
 
 void CloudDesk::read_list() {
--- a/src/app/cloud_desk.hpp
+++ b/src/app/cloud_desk.hpp
@@ -18,7 +18,6 @@
     CloudDesk(Office& office, const Settings& settings);
     // Runs until the process ends.
     void run();
-    std::vector<core::MachineType> types() const;
 
   private:
     using Clock = std::chrono::steady_clock;
@@ -35,8 +34,6 @@
     Clock::time_point next_call_{};
     Clock::time_point next_catalog_{};
     Clock::time_point next_list_{};
-    mutable std::mutex types_mutex_;
-    std::vector<core::MachineType> types_;
 };
 
 }  // namespace bendspindle::app
--- a/src/app/office.hpp
+++ b/src/app/office.hpp
@@ -9,7 +9,9 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
+#include "app/takeover_log.hpp"
 #include "core/controller.hpp"
 
 namespace bendspindle::app {
@@ -41,12 +43,38 @@
 };
 
 struct Office {
+    // The cloud's catalog. Whoever acts plans with it, others judge by it what can ever run.
+    std::vector<core::MachineType> types() const {
+        const std::lock_guard lock(types_mutex);
+        return known_types;
+    }
+    void learn_types(std::vector<core::MachineType> types) {
+        {
+            const std::lock_guard lock(types_mutex);
+            known_types = types;
+        }
+        const std::lock_guard lock(mutex);
+        if (controller) controller->set_types(std::move(types));
+    }
+    // Needs the lock. Guard against a minute without placing: a catalog that came while the
+    // records were being loaded found no controller to tell, so a new one is told here.
+    void install(std::unique_ptr<core::Controller> fresh, std::uint64_t stamp) {
+        if (auto now = types(); !now.empty()) fresh->set_types(std::move(now));
+        controller = std::move(fresh);
+        steward_stamp = stamp;
+        want_place();
+        want_write();
+    }
+
+    mutable std::mutex types_mutex;  // taken while holding `mutex`, never the other way round
+    std::vector<core::MachineType> known_types;
     std::mutex mutex;
-    std::condition_variable recorded;       // something became durable, or never will
-    std::condition_variable write_wanted;   // for the recorder
-    std::condition_variable place_wanted;   // for the placing thread
+    std::condition_variable recorded;      // something became durable, or never will
+    std::condition_variable write_wanted;  // for the recorder
+    std::condition_variable place_wanted;  // for the placing thread
     // Null when another controller acts, or while the records are being loaded.
     std::unique_ptr<core::Controller> controller;
+    std::optional<TakeoverLog> takeover_log;  // of the present controller
     std::uint64_t steward_stamp = 0;
     std::uint64_t learned_revision = 0;  // up to which records of open jobs are known
     bool write_pending = false;
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -54,9 +54,9 @@
 }
 
 void Service::take_over(std::uint64_t epoch, std::uint64_t steward_stamp) {
-    auto controller = std::make_unique<core::Controller>(core_config(settings_, own_), epoch);
     // Loading runs beside the renewal of the lease, which this thread must not hold up.
-    std::thread([this, epoch, steward_stamp, controller = std::move(controller)]() mutable {
+    std::thread([this, epoch, steward_stamp, log = TakeoverLog(Clock::now())]() mutable {
+        std::unique_ptr<core::Controller> controller;
         std::optional<std::uint64_t> revision;
         for (;;) {
             const auto now = membership_.standing();
@@ -69,18 +69,14 @@
         const std::lock_guard lock(office_.mutex);
         const auto now = membership_.standing();
         if (!now.acting || now.epoch != epoch) return;
-        spdlog::info("took over {} open jobs and {} machines", controller->jobs().size(),
-                     controller->machines().size());
-        office_.controller = std::move(controller);
-        office_.steward_stamp = steward_stamp;
+        log.loaded(*controller, Clock::now());
+        office_.takeover_log = log;
         office_.learned_revision = *revision;
-        office_.want_place();
-        office_.want_write();
+        office_.install(std::move(controller), steward_stamp);
     }).detach();
 }
 
 std::optional<std::uint64_t> Service::load(core::Controller& controller) {
-    controller.set_types(cloud_.types());
     const auto machines = store_.list("machine/");
     if (machines.outcome != Outcome::ok) return std::nullopt;
     const auto now = Clock::now();
@@ -206,7 +202,7 @@
 }
 
 Reply Service::accept_elsewhere(const core::JobSpec& spec) {
-    const auto verdict = core::judge(spec, settings_.teams, cloud_.types());
+    const auto verdict = core::judge(spec, settings_.teams, office_.types());
     if (verdict == core::Verdict::not_ready) return busy("machine types are not known yet");
     if (verdict == core::Verdict::never_fits) {
         // It may have been accepted before teams or types changed; accepted stays accepted.
@@ -406,7 +402,7 @@
 }
 
 bool Service::healthy() const {
-    if (cloud_.types().empty()) return false;
+    if (office_.types().empty()) return false;
     const auto now = Clock::now();
     return now - store_.last_ok() < health_memory ||
            now - last_sibling_answer_.load() < health_memory;
@@ -443,6 +439,8 @@
         if (office_.controller) {
             office_.controller->cycle(Clock::now());
             calls = office_.controller->direct_calls(Clock::now());
+            if (office_.takeover_log)
+                office_.takeover_log->look(*office_.controller, Clock::now());
         }
         lock.unlock();
         for (auto& call : calls) courier_.send(std::move(call));
--- /dev/null
+++ b/src/app/takeover_log.hpp
@@ -0,0 +1,32 @@
+// Tells how a takeover goes, in log lines that operators and measurements read: how long after
+// acting the records were loaded, half and all recorded machines confirmed, the first task ordered.
+#pragma once
+
+#include <chrono>
+
+#include "core/controller.hpp"
+
+namespace bendspindle::app {
+
+class TakeoverLog {
+  public:
+    using Clock = std::chrono::steady_clock;
+    explicit TakeoverLog(Clock::time_point acting_since) : acting_since_(acting_since) {}
+
+    void loaded(const core::Controller& controller, Clock::time_point now);
+    // Looks at what has happened since; cheap once everything was told.
+    void look(const core::Controller& controller, Clock::time_point now);
+
+  private:
+    double since(Clock::time_point now) const {
+        return std::chrono::duration<double>(now - acting_since_).count();
+    }
+
+    Clock::time_point acting_since_;
+    std::size_t recorded_ = 0;
+    bool half_told_ = false;
+    bool all_told_ = false;
+    bool start_told_ = false;
+};
+
+}  // namespace bendspindle::app
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -79,6 +79,7 @@
     void restamp(Change::What what, const std::string& id, std::uint64_t stamp);
 
     // For tests and logs.
+    std::size_t unconfirmed() const { return fleet_.unconfirmed(); }
     const std::map<std::string, Machine>& machines() const { return fleet_.all(); }
     const Pipelines::Jobs& jobs() const { return pipelines_.all(); }
     const DispatchCounts& counts() const { return dispatch_.counts(); }
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -166,6 +166,13 @@
            between(machine.last_report, now) < config_.workers.report * 2.5 + Seconds{1};
 }
 
+std::size_t Fleet::unconfirmed() const {
+    return static_cast<std::size_t>(
+        std::count_if(machines_.begin(), machines_.end(), [](const auto& entry) {
+            return entry.second.durable && !entry.second.confirmed;
+        }));
+}
+
 bool Fleet::in_doubt(const Job& job) const {
     if (job.accepted_here) return false;
     // Guard against ran_twice after a takeover: the former owner may have started this job's
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -116,6 +116,8 @@
     }
     // Could a job of an older epoch have tasks on machines that are not confirmed yet?
     bool in_doubt(const Job& job) const;
+    // Recorded machines that have not shown this epoch's token.
+    std::size_t unconfirmed() const;
     void note_image(Machine& machine, const Job& job);
 
     // Records in the state service.
