--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <thread>
 
 #include "app/client.hpp"
 #include "app/service.hpp"
@@ -29,14 +30,28 @@
     spdlog::flush_on(spdlog::level::trace);
 }
 
-// Many threads in little memory: small stacks, and few arenas for the allocator.
-void fit_small_machines(const app::OperatorSettings& own) {
-    ::mallopt(M_ARENA_MAX, 2);
+bool threads_start_with(std::size_t stack) {
     pthread_attr_t attributes;
     ::pthread_attr_init(&attributes);
-    ::pthread_attr_setstacksize(&attributes, own.stack_kb * 1024);
+    ::pthread_attr_setstacksize(&attributes, stack);
     ::pthread_setattr_default_np(&attributes);
     ::pthread_attr_destroy(&attributes);
+    try {
+        std::thread([] {}).join();
+    } catch (const std::system_error&) {
+        return false;
+    }
+    return true;
+}
+
+// Many threads in little memory: small stacks, and few arenas for the allocator.
+void fit_small_machines(const app::OperatorSettings& own) {
+    ::mallopt(M_ARENA_MAX, 2);
+    // Guard against ending at once: a stack must also hold the thread's own storage, which a
+    // checker for threads makes larger than a small stack; then no thread could be started.
+    constexpr std::size_t doublings = 6;
+    std::size_t stack = own.stack_kb * 1024;
+    for (std::size_t i = 0; i < doublings && !threads_start_with(stack); ++i) stack *= 2;
 }
 
 int serve(const std::string& config, const std::string& operator_file) {
--- a/src/app/membership.cpp
+++ b/src/app/membership.cpp
@@ -73,10 +73,10 @@
 
 void Membership::renew() {
     const auto sent = Clock::now();
-    if (sent < next_renewal_) return;
     std::optional<std::uint64_t> lease;
     {
         const std::lock_guard lock(mutex_);
+        if (sent < next_renewal_) return;
         lease = lease_;
     }
     const auto life = duration_cast<milliseconds>(lease_time_);
@@ -111,7 +111,11 @@
         take_over();
         return;
     }
-    if (steward.outcome != Outcome::ok || steward.entry.stamp == steward_seen_) return;
+    if (steward.outcome != Outcome::ok) return;
+    {
+        const std::lock_guard lock(mutex_);
+        if (steward.entry.stamp == steward_seen_) return;
+    }
     const auto view = store_.get(view_key);
     if (view.outcome != Outcome::ok) return;
     const auto parsed = wire::parse_view(view.entry.value);
