A controller that is asked to stop hands its role over; others hear of it at once

Need: SIGTERM ended a controller like a crash, so that nothing new started for a lease; and an ended lease was noticed half a polling interval late on average. Each controller that does not act watches the steward's key and looks when it changes; polling slows to once a second. At debug level each start tells where its time went (record, room, others' saves, report, image). Ruled out: joining all threads; they wait in calls for up to ten seconds, and nothing is lost by ending them once the role is given up.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -12,6 +12,7 @@
 #include "app/client.hpp"
 #include "app/service.hpp"
 #include "app/settings.hpp"
+#include "app/stop_signal.hpp"
 
 namespace {
 
@@ -59,6 +60,7 @@
     auto own = app::load_operator_settings(operator_file);
     fit_small_machines(own);
     set_up_logging(own);
+    app::catch_stop_signals();
     app::Service service(std::move(settings), std::move(own));
     return service.run() ? 0 : 1;
 }
--- a/src/app/membership.cpp
+++ b/src/app/membership.cpp
@@ -4,6 +4,7 @@
 
 #include <random>
 #include <thread>
+#include <utility>
 
 namespace bendspindle::app {
 
@@ -14,7 +15,11 @@
 
 constexpr const char* steward_key = "steward";
 constexpr const char* view_key = "view";
-constexpr milliseconds look_every{500};
+constexpr milliseconds check_every{500};
+// Without news; the watch usually tells sooner.
+constexpr milliseconds look_every{1000};
+constexpr milliseconds watch_wait{10'000};
+constexpr milliseconds watch_pause{500};
 // Steady clocks run up to 0.05% fast or slow against each other; a little more is allowed for.
 constexpr double drift_allowance = 0.998;
 constexpr milliseconds judgement_margin{150};
@@ -40,7 +45,10 @@
 
 void Membership::suspect(std::uint64_t epoch) {
     const std::lock_guard lock(mutex_);
-    if (epoch > standing_.epoch) steward_seen_ = 0;
+    if (epoch <= standing_.epoch) return;
+    steward_seen_ = 0;
+    look_now_ = true;
+    wake_.notify_one();
 }
 
 void Membership::heard(std::uint64_t epoch, const std::string& steward) {
@@ -76,7 +84,7 @@
     std::optional<std::uint64_t> lease;
     {
         const std::lock_guard lock(mutex_);
-        if (sent < next_renewal_) return;
+        if (sent < next_renewal_ || resigned_) return;
         lease = lease_;
     }
     const auto life = duration_cast<milliseconds>(lease_time_);
@@ -96,10 +104,11 @@
         if (outcome != Outcome::ok) return;
     }
     const std::lock_guard lock(mutex_);
+    if (resigned_) return;
     lease_ = lease;
     // The service counts from when it got the request; from its sending is the safe side.
-    valid_until_ = sent + duration_cast<milliseconds>(lease_time_ * drift_allowance) -
-                   judgement_margin;
+    valid_until_ =
+        sent + duration_cast<milliseconds>(lease_time_ * drift_allowance) - judgement_margin;
     next_renewal_ = sent + duration_cast<milliseconds>(lease_time_ / renewals_a_lease);
 }
 
@@ -165,6 +174,8 @@
     if (txn.outcome != Outcome::ok) return;
     {
         const std::lock_guard lock(mutex_);
+        // The lease that holds the key has been given up meanwhile.
+        if (resigned_) return;
         standing_ = {next, name_, true, txn.revision};
         steward_seen_ = txn.revision;
     }
@@ -175,11 +186,53 @@
 void Membership::run() {
     std::mt19937 random(static_cast<unsigned>(incarnation_));
     std::uniform_int_distribution<int> jitter(0, 100);
+    auto next_look = Clock::now();
     for (;;) {
         renew();
-        look();
-        std::this_thread::sleep_for(look_every + milliseconds(jitter(random) - 50));
+        if (Clock::now() >= next_look) {
+            next_look = Clock::now() + look_every;
+            look();
+        }
+        std::unique_lock lock(mutex_);
+        wake_.wait_for(lock, check_every + milliseconds(jitter(random) - 50),
+                       [&] { return look_now_; });
+        if (std::exchange(look_now_, false)) next_look = Clock::now();
+    }
+}
+
+// Guard against nobody acting for longer than the lease asks for: polling alone notices an ended
+// lease half its interval late, on average.
+void Membership::watch() {
+    std::uint64_t since = 0;
+    for (;;) {
+        if (standing().acting) {
+            since = 0;
+            std::this_thread::sleep_for(look_every);
+            continue;
+        }
+        const auto news =
+            since == 0 ? store_.list(steward_key) : store_.watch(steward_key, since, watch_wait);
+        if (news.outcome == Outcome::ok) since = news.revision;
+        if (news.outcome == Outcome::too_old) since = 0;
+        {
+            const std::lock_guard lock(mutex_);
+            look_now_ = true;
+            wake_.notify_one();
+        }
+        if (news.outcome != Outcome::ok) std::this_thread::sleep_for(watch_pause);
+    }
+}
+
+void Membership::resign() {
+    std::optional<std::uint64_t> lease;
+    {
+        const std::lock_guard lock(mutex_);
+        resigned_ = true;
+        lease = lease_;
     }
+    // First nothing is done or told any more in this role, then another may take it.
+    step_down();
+    if (lease) store_.revoke(*lease);
 }
 
 }  // namespace bendspindle::app
--- a/src/app/membership.hpp
+++ b/src/app/membership.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <condition_variable>
 #include <cstdint>
 #include <functional>
 #include <mutex>
@@ -14,9 +15,9 @@
 namespace bendspindle::app {
 
 struct Standing {
-    std::uint64_t epoch = 0;       // of the last view known; 0: none
-    std::string steward;           // who acts, as far as known; empty: nobody
-    bool acting = false;           // this controller
+    std::uint64_t epoch = 0;  // of the last view known; 0: none
+    std::string steward;      // who acts, as far as known; empty: nobody
+    bool acting = false;      // this controller
     std::uint64_t steward_stamp = 0;
 };
 
@@ -29,8 +30,12 @@
     };
 
     Membership(StateStore& store, std::string name, core::Seconds lease, Events events);
-    // Runs until the process ends.
+    // Each runs until the process ends: one keeps the lease and looks who acts, the other waits
+    // for news of the steward so that the first looks at once.
     void run();
+    void watch();
+    // Acts no more and gives the lease up, so that another controller acts at once. For good.
+    void resign();
 
     Standing standing() const;
     // Whether no other controller can act yet, judged by this one's own clock.
@@ -55,6 +60,9 @@
     std::optional<std::uint64_t> lease_;
     Clock::time_point valid_until_{};
     Clock::time_point next_renewal_{};
+    std::condition_variable wake_;
+    bool look_now_ = true;
+    bool resigned_ = false;
     std::uint64_t steward_seen_ = 0;  // stamp of the steward key whose view was read
     std::uint64_t incarnation_ = 0;
 };
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -3,9 +3,10 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <thread>
 
-#include "io/http_server.hpp"
+#include "app/stop_signal.hpp"
 
 namespace bendspindle::app {
 
@@ -23,6 +24,9 @@
 constexpr milliseconds announce_every{1000};
 constexpr milliseconds watch_wait{10'000};
 constexpr milliseconds learn_pause{100};
+constexpr milliseconds look_for_stop{250};
+constexpr milliseconds stop_step{20};
+constexpr milliseconds longest_stop{3000};
 // A worker back within this time has not reached the controller it was sent to.
 constexpr seconds redirect_memory{15};
 // After this long its reports are no longer handed on; it is sent there again.
@@ -424,6 +428,16 @@
     }
 }
 
+// Where the time until each start went, for those who want to know: at debug level.
+void Service::tell_starts(core::Controller& controller) {
+    for (const auto& s : controller.take_started())
+        spdlog::debug("started {} of {}, {} tasks, after {:.2f} s: record {:.2f}, room {:.2f}, {} "
+                      "{:.2f}, report {:.2f}, image {:.2f}",
+                      s.job, s.job_class, s.tasks, s.total().count(), s.record.count(),
+                      s.room.count(), s.stopped_others ? "stopping others" : "not stopping",
+                      s.saves.count(), s.report.count(), s.image.count());
+}
+
 void Service::place() {
     auto next = Clock::now();
     for (;;) {
@@ -439,6 +453,7 @@
         if (office_.controller) {
             office_.controller->cycle(Clock::now());
             calls = office_.controller->direct_calls(Clock::now());
+            tell_starts(*office_.controller);
             if (office_.takeover_log)
                 office_.takeover_log->look(*office_.controller, Clock::now());
         }
@@ -448,6 +463,23 @@
     }
 }
 
+// In this order: new connections are refused, so that the load balancer goes on to the next
+// controller; requests under way get their answers; the role is handed over, so that another
+// controller acts at once. Nothing of this is needed for safety: a process that is killed leaves
+// the same to its successor, which only begins a lease later.
+void Service::stop_when_asked(io::HttpServer& http) {
+    take_stop_signals_here();
+    while (!stop_asked()) std::this_thread::sleep_for(look_for_stop);
+    spdlog::info("asked to stop");
+    http.stop_accepting();
+    const auto until = Clock::now() + longest_stop;
+    while (!http.quiet() && Clock::now() < until) std::this_thread::sleep_for(stop_step);
+    membership_.resign();
+    spdlog::info("stopped");
+    // The other threads wait in calls and for work, and use what destructors would take away.
+    std::_Exit(0);
+}
+
 bool Service::run() {
     io::HttpServerLimits limits;
     limits.most_threads = std::min(own_.threads, settings_.most_sockets / 2);
@@ -503,6 +535,7 @@
     }
     std::thread([this] { cloud_.run(); }).detach();
     std::thread([this] { membership_.run(); }).detach();
+    std::thread([this] { membership_.watch(); }).detach();
     std::thread([this] { recorder_.run(); }).detach();
     std::thread([this] { acceptor_.run(); }).detach();
     std::thread([this] { learn(); }).detach();
@@ -510,8 +543,12 @@
     std::thread([this] { announce(); }).detach();
     courier_.start();
     std::thread([&peers] { peers.run(); }).detach();
+    std::thread stopper([this, &http] { stop_when_asked(http); });
     spdlog::info("{} serves", settings_.name);
-    return http.listen_after_bind();
+    http.listen_after_bind();
+    if (stop_asked()) stopper.join();  // and with it the process
+    spdlog::error("the listening socket has failed");
+    std::_Exit(1);
 }
 
 }  // namespace bendspindle::app
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -17,6 +17,7 @@
 #include "app/recorder.hpp"
 #include "app/settings.hpp"
 #include "app/state_store.hpp"
+#include "io/http_server.hpp"
 #include "io/peer_link.hpp"
 
 namespace bendspindle::app {
@@ -30,7 +31,8 @@
 class Service {
   public:
     Service(Settings settings, OperatorSettings own);
-    // Serves until the process ends. False: an address could not be bound.
+    // Serves until it is asked to stop (`stop_asked`), and ends the process then. False: an address
+    // could not be bound.
     bool run();
 
   private:
@@ -65,7 +67,9 @@
                     std::uint64_t epoch);
     void stand_down();
     void place();
+    static void tell_starts(core::Controller& controller);
     void announce();
+    void stop_when_asked(io::HttpServer& http);
 
     Settings settings_;
     OperatorSettings own_;
--- a/src/app/state_store.cpp
+++ b/src/app/state_store.cpp
@@ -107,4 +107,8 @@
     return outcome_of(client_.post(wire::path::touch(lease), wire::to_cbor(wire::Value::object())));
 }
 
+Outcome StateStore::revoke(std::uint64_t lease) {
+    return outcome_of(client_.erase(wire::path::lease(lease)));
+}
+
 }  // namespace bendspindle::app
--- a/src/app/state_store.hpp
+++ b/src/app/state_store.hpp
@@ -51,6 +51,8 @@
                  const std::vector<wire::Operation>& operations);
     std::optional<std::uint64_t> grant(std::chrono::milliseconds life);
     Outcome touch(std::uint64_t lease);
+    // Ends a lease at once, and what is attached to it.
+    Outcome revoke(std::uint64_t lease);
     // When the service last executed something for this controller.
     Clock::time_point last_ok() const { return last_ok_.load(); }
 
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -83,6 +83,7 @@
     const std::map<std::string, Machine>& machines() const { return fleet_.all(); }
     const Pipelines::Jobs& jobs() const { return pipelines_.all(); }
     const DispatchCounts& counts() const { return dispatch_.counts(); }
+    std::vector<StartStory> take_started() { return dispatch_.take_started(); }
 
   private:
     // In the order of what refers to what.
--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -179,12 +179,15 @@
     seen.insert({job->serial, task.index});
     if (ours) {
         auto& placement = it->second;
-        if (placement.stage != Placement::Stage::on) placement.since = now;
+        if (placement.stage != Placement::Stage::on) placement.since = placement.on_at = now;
         placement.stage = Placement::Stage::on;
         placement.in_flight = false;
         const bool was_running = placement.state == TaskState::running;
         placement.state = task.state;
-        if (task.state == TaskState::running && !was_running) placement.running_from = now;
+        if (task.state == TaskState::running && !was_running) {
+            placement.running_from = now;
+            note_start(*job, now);
+        }
     } else {
         adopt(machine, *job, task, now);
     }
@@ -265,6 +268,36 @@
     }
 }
 
+void Dispatch::note_start(Job& job, TimePoint now) {
+    if (job.started) return;
+    const bool gang = job.spec.kind == Kind::gang;
+    const Placement* latest = nullptr;
+    std::uint32_t running = 0;
+    for (const auto& [index, placement] : job.placed) {
+        if (placement.stage != Placement::Stage::on || placement.state != TaskState::running)
+            continue;
+        ++running;
+        if (!latest || placement.ordered_at > latest->ordered_at) latest = &placement;
+    }
+    if (!latest || (gang && running < job.spec.tasks)) return;
+    job.started = true;
+    // Adopted from a former controller: its start was not seen.
+    if (latest->ordered_at == TimePoint{}) return;
+    StartStory story;
+    story.job = job.spec.id;
+    story.job_class = job.spec.job_class;
+    story.tasks = job.spec.tasks;
+    story.stopped_others = latest->held_until != TimePoint{};
+    story.record = between(job.accepted_at, job.durable_at);
+    // A bind that waits for nobody is made anew each cycle; it counts as waiting for room.
+    const auto found = story.stopped_others ? latest->bound_at : latest->ordered_at;
+    story.room = between(job.durable_at, found);
+    story.saves = between(found, latest->ordered_at);
+    story.report = between(latest->ordered_at, latest->on_at);
+    story.image = between(latest->on_at, now);
+    started_.push_back(std::move(story));
+}
+
 void Dispatch::count_strays(Machine& machine) const {
     machine.strays = Resources{};
     for (const auto& task : machine.tasks) {
@@ -392,7 +425,7 @@
         placement.stage = Placement::Stage::ordered;
         placement.ordered_session = machine.session;
         placement.in_flight = direct;
-        placement.since = now;
+        placement.since = placement.ordered_at = now;
         ++counts_.starts;
         orders.push_back({Order::Verb::start, job->spec.id, index, placement.attempt, {}});
     }
--- a/src/core/dispatch.hpp
+++ b/src/core/dispatch.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/catalog.hpp"
@@ -36,6 +37,21 @@
     std::vector<Order> orders;
 };
 
+// What the time from a job's acceptance here to its start went into, for logs and measurements: of
+// a gang the latest of its tasks, of an array the first.
+struct StartStory {
+    std::string job;
+    std::string job_class;
+    std::uint32_t tasks = 0;
+    bool stopped_others = false;
+    Seconds record{0};  // until the job was durable
+    Seconds room{0};    // until room was found, or others were told to make it
+    Seconds saves{0};   // until those had saved and gone
+    Seconds report{0};  // until the machine told of the task
+    Seconds image{0};   // until it ran: its image, and the others of its gang
+    Seconds total() const { return record + room + saves + report + image; }
+};
+
 struct DispatchCounts {
     std::uint64_t starts = 0, lost = 0, errors = 0, refused_starts = 0;
 };
@@ -61,6 +77,8 @@
     // The release of a machine was answered.
     void released(const std::string& name);
     const DispatchCounts& counts() const { return counts_; }
+    // Jobs that have started since the last call.
+    std::vector<StartStory> take_started() { return std::exchange(started_, {}); }
 
   private:
     // How a task list came: as a report, or as the answer to a direct call between two reports.
@@ -77,6 +95,7 @@
     void adopt(Machine& machine, Job& job, const ReportedTask& task, TimePoint now);
     void settle_absent(Machine& machine, const std::vector<HeldKey>& held, const Report& report,
                        Source source, const Seen& seen, TimePoint now, std::vector<Order>& orders);
+    void note_start(Job& job, TimePoint now);
     void count_strays(Machine& machine) const;
     void task_exited(Machine& machine, Job& job, const ReportedTask& task, TimePoint now);
     void task_failed(Machine& machine, Job& job, TimePoint now);
@@ -94,6 +113,7 @@
     Estimates& estimates_;
     const std::uint64_t epoch_;
     DispatchCounts counts_;
+    std::vector<StartStory> started_;
 };
 
 }  // namespace bendspindle::core
--- a/src/core/job.hpp
+++ b/src/core/job.hpp
@@ -46,6 +46,9 @@
     // its way, so the task's absence from a report proves nothing.
     bool in_flight = false;
     TimePoint since{};        // of the stage
+    TimePoint bound_at{};
+    TimePoint ordered_at{};
+    TimePoint on_at{};
     TimePoint running_from{};  // when it was first seen running
     bool stopping = false;
     Seconds grace{0};
@@ -62,6 +65,8 @@
     std::uint64_t serial = 0;
     WallTime submitted{};
     TimePoint accepted_at{};
+    TimePoint durable_at{};
+    bool started = false;  // all tasks of a gang, or one of an array, have run at once
     bool accepted_here = false;  // in this epoch: no older epoch can have started any of it
     Final final = Final::none;
     bool final_durable = false;
--- a/src/core/pipelines.cpp
+++ b/src/core/pipelines.cpp
@@ -54,7 +54,7 @@
     auto job = std::make_unique<Job>();
     job->spec = record.spec;
     job->submitted = record.submitted;
-    job->accepted_at = now;
+    job->accepted_at = job->durable_at = now;
     job->durable = true;
     job->stamp = stamp;
     job->last_attempt = record.last_attempt;
@@ -129,7 +129,7 @@
 
 void Pipelines::bind(Job& job, Machine& machine, Placement placement, TimePoint now) {
     placement.machine = machine.name;
-    placement.since = now;
+    placement.since = placement.bound_at = now;
     job.last_attempt = std::max(job.last_attempt, placement.attempt);
     hold(machine, job, job.next_idle(), placement);
     machine.idle_since = now;
@@ -210,6 +210,7 @@
 
 void Pipelines::written(Job& job, const JobRecord& record, std::uint64_t version,
                         std::uint64_t stamp, TimePoint now) {
+    if (!job.durable) job.durable_at = now;
     job.durable = true;
     job.stamp = stamp;
     job.written = version;
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -167,6 +167,11 @@
     return true;
 }
 
+void HttpServer::stop_accepting() {
+    closing_ = true;
+    stop();
+}
+
 bool HttpServer::process_and_close_socket(socket_t sock) {
     const int on = 1;
     ::setsockopt(sock, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -175,10 +180,14 @@
         ConnectionStream stream(sock, limits_.message);
         while (stream.wait_for_request(limits_.idle)) {
             const bool close_after =
+                closing_ ||
                 static_cast<double>(open_) > static_cast<double>(limits_.most_threads) * crowded;
             bool closed = false;
+            ++answering_;
             const bool ok = process_request(stream, close_after, closed, nullptr);
-            if (!stream.flush() || !ok || closed || close_after) break;
+            const bool flushed = stream.flush();
+            --answering_;
+            if (!flushed || !ok || closed || close_after) break;
         }
     }
     --open_;
--- a/src/io/http_server.hpp
+++ b/src/io/http_server.hpp
@@ -45,12 +45,18 @@
     explicit HttpServer(HttpServerLimits limits);
     // Widens the accept queue, which the library fixes at a handful. False: not bound.
     bool bind(const std::string& host, int port);
+    // Takes no more connections; those there are end with their next answer.
+    void stop_accepting();
+    // Whether no request is being answered.
+    bool quiet() const { return answering_ == 0; }
 
   private:
     bool process_and_close_socket(socket_t sock) override;
 
     HttpServerLimits limits_;
     std::atomic<std::size_t> open_{0};
+    std::atomic<std::size_t> answering_{0};
+    std::atomic<bool> closing_{false};
 };
 
 }  // namespace bendspindle::io
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -288,7 +288,8 @@
     return "/watch?starts=" + prefix + "&since=" + std::to_string(since) +
            "&wait_ms=" + std::to_string(wait.count());
 }
-std::string touch(std::uint64_t lease) { return "/leases/" + std::to_string(lease) + "/touch"; }
+std::string lease(std::uint64_t lease) { return "/leases/" + std::to_string(lease); }
+std::string touch(std::uint64_t id) { return lease(id) + "/touch"; }
 std::string list(const std::string& after, unsigned limit) {
     auto out = std::string("/machines?page=") + std::to_string(limit);
     if (!after.empty()) out += "&since=" + after;
--- a/src/wire/codec.hpp
+++ b/src/wire/codec.hpp
@@ -36,6 +36,7 @@
 std::string key(const std::string& key);
 std::string range(const std::string& prefix, const std::string& after, unsigned limit);
 std::string watch(const std::string& prefix, std::uint64_t since, std::chrono::milliseconds wait);
+std::string lease(std::uint64_t lease);
 std::string touch(std::uint64_t lease);
 std::string list(const std::string& after, unsigned limit);
 }  // namespace path
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -79,6 +79,19 @@
         pid = -1;
         return running;
     }
+    // How it ended after SIGTERM: its exit code, or -1 if it did not end by itself in time.
+    int terminate(int i) {
+        auto& pid = pids_[static_cast<std::size_t>(i)];
+        ::kill(pid, SIGTERM);
+        const auto until = std::chrono::steady_clock::now() + 20s;
+        int status = 0;
+        while (::waitpid(pid, &status, WNOHANG) == 0) {
+            if (std::chrono::steady_clock::now() > until) return -1;
+            std::this_thread::sleep_for(20ms);
+        }
+        pid = -1;
+        return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    }
     std::string address(int offset) const { return "127.0.0.1:" + std::to_string(base_ + offset); }
 
   private:
@@ -140,7 +153,7 @@
     standin::CloudAndWorkers cloud_;
 };
 
-TEST_F(Processes, AnswerSurviveKillsAndRestarts) {
+TEST_F(Processes, AnswerThroughKillsAndRestarts) {
     for (int i = 0; i < 3; ++i) controllers_.start(i);
     EXPECT_EQ(ask("/work", job("job-1")).first, 201);
     EXPECT_EQ(ask("/work", job("job-1")).first, 200);
@@ -182,5 +195,18 @@
     for (int i = 0; i < 3; ++i) EXPECT_TRUE(controllers_.kill(i)) << "ended by itself";
 }
 
+// Asked to stop one after the other, whichever of them acts: each ends with 0, and what was
+// accepted is done by those that are left.
+TEST_F(Processes, AskedToStopTheyHandOver) {
+    for (int i = 0; i < 3; ++i) controllers_.start(i);
+    for (int i = 0; i < 2; ++i) {
+        const auto id = "job-" + std::to_string(i);
+        EXPECT_EQ(ask("/work", job(id)).first, 201);
+        EXPECT_EQ(controllers_.terminate(i), 0);
+        EXPECT_EQ(stage_within_a_minute(id, "done"), "done");
+    }
+    EXPECT_EQ(controllers_.terminate(2), 0);
+}
+
 }  // namespace
 }  // namespace bendspindle
--- a/tests/standin/services.cpp
+++ b/tests/standin/services.cpp
@@ -59,6 +59,9 @@
                 for (const auto& [key, item] : items_)
                     if (key.starts_with(prefix) && item.stamp > since)
                         events.push_back({{"put", key}, {"v", item.value}, {"stamp", item.stamp}});
+                for (const auto& [key, stamp] : deleted_)
+                    if (key.starts_with(prefix) && stamp > since)
+                        events.push_back({{"delete", key}, {"stamp", stamp}});
                 if (!events.empty() || ending_ || Clock::now() >= until)
                     return answer(response, 200, {{"ledger_tick", revision_}, {"events", events}});
             }
@@ -82,6 +85,13 @@
         it->second.ends = Clock::now() + it->second.life;
         answer(response, 200, {{"loan", it->first}});
     });
+    server_.Delete(R"(/leases/(\d+))", [this](const auto& request, auto& response) {
+        const std::lock_guard lock(mutex_);
+        const auto lease = std::stoull(request.matches[1]);
+        if (leases_.erase(lease) == 0) return answer(response, 404, Value::object());
+        end(lease);
+        answer(response, 200, Value::object());
+    });
     start(server_, thread_, port);
 }
 
@@ -97,12 +107,21 @@
             ++it;
             continue;
         }
-        std::erase_if(items_, [&](const auto& item) { return item.second.lease == it->first; });
-        ++revision_;
+        const auto lease = it->first;
         it = leases_.erase(it);
+        end(lease);
     }
 }
 
+void StateService::end(std::uint64_t lease) {
+    ++revision_;
+    std::erase_if(items_, [&](const auto& item) {
+        if (item.second.lease != lease) return false;
+        deleted_[item.first] = revision_;
+        return true;
+    });
+}
+
 void StateService::transact(const httplib::Request& request, httplib::Response& response) {
     const std::lock_guard lock(mutex_);
     expire();
@@ -122,6 +141,7 @@
     for (const auto& operation : (*body)["apply"]) {
         if (operation.contains("delete")) {
             items_.erase(operation["delete"].get<std::string>());
+            deleted_[operation["delete"]] = revision_;
             continue;
         }
         const auto lease =
--- a/tests/standin/services.hpp
+++ b/tests/standin/services.hpp
@@ -35,6 +35,7 @@
         Clock::time_point ends{};
     };
     void expire();
+    void end(std::uint64_t lease);
     void transact(const httplib::Request& request, httplib::Response& response);
 
     std::mutex mutex_;
@@ -42,6 +43,7 @@
     std::uint64_t next_lease_ = 0;
     std::map<std::string, Item> items_;
     std::map<std::uint64_t, Lease> leases_;
+    std::map<std::string, std::uint64_t> deleted_;  // by key: the revision of its deletion
     std::atomic<bool> ending_{false};
     httplib::Server server_;
     std::thread thread_;
