Urgent work of borrowers goes before guaranteed work of lower priority

Change: work of lower priority may be stopped whether guaranteed or not, as the protocol allows; a guarantee takes back from borrowers of the same or lower priority at once, from higher ones only when its job has waited for five minutes, and then for good, so that two jobs never stop each other in turn.

--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -418,7 +418,7 @@
     });
     const auto& size = catalog_[machine.type].size;
     for (const auto& [index, task] : ready) {
-        const auto* job = task.job;
+        auto* job = task.job;
         if (!(size - taken).holds(job->spec.need)) break;
         auto& placement = *task.placement;
         taken += job->spec.need;
@@ -426,6 +426,7 @@
         placement.ordered_session = machine.session;
         placement.in_flight = direct;
         placement.since = placement.ordered_at = now;
+        job->waits_since.reset();
         ++counts_.starts;
         orders.push_back({Order::Verb::start, job->spec.id, index, placement.attempt, {}});
     }
--- a/src/core/job.hpp
+++ b/src/core/job.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -66,6 +67,9 @@
     WallTime submitted{};
     TimePoint accepted_at{};
     TimePoint durable_at{};
+    // Since when it has waited without any of it being started; none: it is not waiting.
+    std::optional<TimePoint> waits_since;
+    bool owed = false;     // it has once waited so long that its team's guarantee comes first
     bool started = false;  // all tasks of a gang, or one of an array, have run at once
     bool accepted_here = false;  // in this epoch: no older epoch can have started any of it
     Final final = Final::none;
--- a/src/core/placing.cpp
+++ b/src/core/placing.cpp
@@ -5,6 +5,13 @@
 
 namespace bendspindle::core {
 
+namespace {
+
+// A job that has waited this long is owed its team's guarantee before urgent work of borrowers.
+constexpr Seconds owed_after{300};
+
+}  // namespace
+
 void Placing::unbind_all(TimePoint now) {
     for (auto& [serial, job] : pipelines_.all()) {
         const bool gang = job->spec.kind == Kind::gang;
@@ -101,6 +108,8 @@
         if (gang && !job->placed.empty()) continue;
         const auto idle = job->idle_count();
         if (idle == 0 || fleet_.in_doubt(*job)) continue;
+        if (!job->waits_since) job->waits_since = now;
+        if (between(*job->waits_since, now) > owed_after) job->owed = true;
         const auto room = standing.room(*job);
         if (room == 0 || (gang && room < idle)) continue;
         dsmf::Pipeline pipeline;
--- a/src/core/preemption.cpp
+++ b/src/core/preemption.cpp
@@ -22,17 +22,20 @@
 }
 
 Claim claim_of(const Job& job, const Standing& standing) {
-    return {job.spec.priority, standing.guaranteed(job), job.spec.team};
+    const bool guaranteed = standing.guaranteed(job);
+    return {job.spec.priority, guaranteed, guaranteed && job.owed, job.spec.team};
 }
 
 }  // namespace
 
 bool Claim::may_stop(const Claim& other) const {
-    // Guard against two jobs that stop each other in turn: what a guarantee has taken
-    // back is not taken again by a borrower's priority.
-    if (other.guaranteed && !guaranteed) return false;
-    if (other.priority < priority) return true;
-    return guaranteed && !other.guaranteed && other.team != team;
+    // Guards against two jobs that stop each other in turn: between guaranteed work and a borrower
+    // of higher priority, the borrower goes first until the guaranteed job is owed its place, and
+    // never again after that. (Urgent work of a borrower waited half a minute and longer while
+    // whole fleets ran guaranteed work of lower priority.)
+    if (other.priority < priority) return guaranteed || !other.owed;
+    if (!guaranteed || other.guaranteed || other.team == team) return false;
+    return owed || other.priority <= priority;
 }
 
 RoomSearch::RoomSearch(const Job& job, const Standing& standing, const Catalog& catalog,
--- a/src/core/preemption.hpp
+++ b/src/core/preemption.hpp
@@ -23,6 +23,7 @@
 struct Claim {
     Priority priority = Priority::low;
     bool guaranteed = false;
+    bool owed = false;  // waits too long already for what its team is guaranteed
     std::string_view team;
 
     bool may_stop(const Claim& other) const;
