--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -482,7 +482,7 @@
 
 bool Service::run() {
     io::HttpServerLimits limits;
-    limits.most_threads = std::min(own_.threads, settings_.most_sockets / 2);
+    limits.most_threads = most_connections(settings_, own_);
     io::HttpServer http(limits);
     const auto send = [](const Reply& reply, httplib::Response& response) {
         response.status = reply.status;
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -57,13 +57,16 @@
     core::Seconds least_paid{60};
     core::Seconds demand_memory{60};
     double headroom = 1.0;
-    std::size_t threads = 160;
+    std::size_t threads = 1500;
     std::size_t stack_kb = 256;
     std::size_t finals_cached = 4096;
 };
 
 Settings load_settings(const std::string& file);
 OperatorSettings load_operator_settings(const std::string& file);
+// Connections served at once, a thread each: what operators allow, the sockets and the memory of the
+// platform's settings permit.
+std::size_t most_connections(const Settings& settings, const OperatorSettings& own);
 core::Config core_config(const Settings& settings, const OperatorSettings& own);
 
 }  // namespace bendspindle::app
--- a/src/io/peer_link.cpp
+++ b/src/io/peer_link.cpp
@@ -177,6 +177,18 @@
     }
 }
 
+// Guard against a log full of one line: such a sibling comes back with every request.
+void PeerServer::complain_of_version() {
+    constexpr std::chrono::minutes again{10};
+    const auto now = std::chrono::steady_clock::now();
+    {
+        const std::lock_guard lock(mutex_);
+        if (complained_ && now - *complained_ < again) return;
+        complained_ = now;
+    }
+    complain_("a sibling speaks another version of the peer protocol; its requests are refused");
+}
+
 void PeerServer::serve(Socket socket) {
     constexpr milliseconds message_limit{2000};
     std::string bytes;
@@ -184,9 +196,10 @@
         if (!receive_all(socket.fd(), bytes, wire::peer::header_size, message_limit)) return;
         const auto [header, error] = wire::peer::parse_header(bytes);
         if (error != wire::peer::HeaderError::none) {
-            complain_(error == wire::peer::HeaderError::version
-                          ? "a sibling speaks another version of the peer protocol"
-                          : "malformed header on a peer link");
+            if (error == wire::peer::HeaderError::version)
+                complain_of_version();
+            else
+                complain_("malformed header on a peer link");
             return;
         }
         if (!receive_all(socket.fd(), bytes, header.length, message_limit)) return;
--- a/src/io/peer_link.hpp
+++ b/src/io/peer_link.hpp
@@ -60,10 +60,13 @@
 
   private:
     void serve(Socket socket);
+    void complain_of_version();
 
     Handler handler_;
     Complaint complain_;
     Socket listening_;
+    std::mutex mutex_;
+    std::optional<std::chrono::steady_clock::time_point> complained_;  // of another version
 };
 
 }  // namespace bendspindle::io
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -112,5 +112,20 @@
     EXPECT_EQ(own.finals_cached, defaults.finals_cached);
 }
 
+TEST(MostConnections, WhatIsScarceDecides) {
+    Settings settings;
+    OperatorSettings own;
+    own.threads = 500;
+    settings.most_sockets = 2000;
+    settings.memory_mb = 200;
+    EXPECT_EQ(most_connections(settings, own), 500U);
+    settings.most_sockets = 300;
+    EXPECT_EQ(most_connections(settings, own), 200U);
+    settings.memory_mb = 16;
+    EXPECT_EQ(most_connections(settings, own), 128U);
+    settings.memory_mb = 0.1;
+    EXPECT_EQ(most_connections(settings, own), 1U);
+}
+
 }  // namespace
 }  // namespace bendspindle::app
