Connections: 160 stay the default, sockets and memory only bound them

Cause: 1,500 brought nothing for what it takes. Kept: the bound by sockets and memory, now at 40 KiB a connection as seen.

--- a/deploy/operator.sexp
+++ b/deploy/operator.sexp
@@ -7,6 +7,6 @@
  (least-paid-s 60)      ; no machine is returned younger than this: it is paid for anyway
  (demand-memory-s 60)   ; demand is learned over about this long
  (headroom 1)           ; standard deviations of demand kept ready beyond the mean
- (threads 1500)         ; most connections served at once; sockets and memory may allow fewer
+ (threads 160)          ; most connections served at once; sockets and memory may allow fewer
  (stack-kb 256)         ; stack of each thread
  (finals-cached 4096))  ; jobs that are over, remembered in memory
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -224,7 +224,7 @@
     // A third of the sockets is left for calls out, and for connections on their way in or out.
     const auto by_sockets = settings.most_sockets * 2 / 3;
     // What a connection's thread was seen to touch of its stack and heap, in a quarter of the memory.
-    constexpr double kb_a_connection = 32;
+    constexpr double kb_a_connection = 40;
     const auto by_memory =
         static_cast<std::size_t>(settings.memory_mb * 1024 / 4 / kb_a_connection);
     return std::max<std::size_t>(std::min({own.threads, by_sockets, by_memory}), 1);
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -57,7 +57,7 @@
     core::Seconds least_paid{60};
     core::Seconds demand_memory{60};
     double headroom = 1.0;
-    std::size_t threads = 1500;
+    std::size_t threads = 160;
     std::size_t stack_kb = 256;
     std::size_t finals_cached = 4096;
 };
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -122,7 +122,7 @@
     settings.most_sockets = 300;
     EXPECT_EQ(most_connections(settings, own), 200U);
     settings.memory_mb = 16;
-    EXPECT_EQ(most_connections(settings, own), 128U);
+    EXPECT_EQ(most_connections(settings, own), 102U);
     settings.memory_mb = 0.1;
     EXPECT_EQ(most_connections(settings, own), 1U);
 }
