--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -30,18 +30,23 @@
     if (type) machine.type = *type;
 }
 
+void Fleet::describe(Machine& machine, const std::string& name, const std::string& type,
+                     const std::string& zone, bool spot) {
+    machine.name = name;
+    machine.type_name = type;
+    set_type(machine);
+    machine.zone = zone;
+    machine.spot = spot;
+}
+
 void Fleet::catalog_changed() {
     for (auto& [name, machine] : machines_) set_type(machine);
 }
 
 void Fleet::load(const ListedMachine& record, std::uint64_t stamp, TimePoint now) {
     auto& machine = machines_[record.name];
-    machine.name = record.name;
+    describe(machine, record.name, record.type, record.zone, record.spot);
     machine.address = record.address;
-    machine.type_name = record.type;
-    set_type(machine);
-    machine.zone = record.zone;
-    machine.spot = record.spot;
     machine.durable = true;
     machine.stamp = stamp;
     machine.first_seen = machine.last_report = machine.idle_since = machine.loaded_at = now;
@@ -50,15 +55,9 @@
 Machine& Fleet::meet(const Report& report, TimePoint now) {
     auto [it, fresh] = machines_.try_emplace(report.machine);
     auto& machine = it->second;
-    if (fresh) {
-        machine.name = report.machine;
-        machine.first_seen = machine.idle_since = now;
-    }
+    if (fresh) machine.first_seen = machine.idle_since = now;
+    describe(machine, report.machine, report.type, report.zone, report.spot);
     machine.address = report.address;
-    machine.type_name = report.type;
-    machine.zone = report.zone;
-    machine.spot = report.spot;
-    set_type(machine);
     return machine;
 }
 
@@ -69,11 +68,7 @@
         auto [it, fresh] = machines_.try_emplace(name);
         if (!fresh) continue;
         auto& machine = it->second;
-        machine.name = name;
-        machine.type_name = request.type;
-        set_type(machine);
-        machine.zone = request.zone;
-        machine.spot = request.spot;
+        describe(machine, name, request.type, request.zone, request.spot);
         machine.first_seen = machine.last_report = machine.idle_since = now;
     }
 }
@@ -94,12 +89,7 @@
         if (!fresh) continue;
         // A machine that nobody here asked for: a late rental, or one of a former steward.
         auto& machine = it->second;
-        machine.name = entry.name;
-        machine.address = entry.address;
-        machine.type_name = entry.type;
-        set_type(machine);
-        machine.zone = entry.zone;
-        machine.spot = entry.spot;
+        describe(machine, entry.name, entry.type, entry.zone, entry.spot);
         machine.first_seen = later(now, -entry.age);
         machine.last_report = machine.idle_since = now;
         if (entry.stage == MachineStage::failed) machine.releasing = true;
@@ -167,10 +157,9 @@
 }
 
 std::size_t Fleet::unconfirmed() const {
-    return static_cast<std::size_t>(
-        std::count_if(machines_.begin(), machines_.end(), [](const auto& entry) {
-            return entry.second.durable && !entry.second.confirmed;
-        }));
+    return static_cast<std::size_t>(std::count_if(
+        machines_.begin(), machines_.end(),
+        [](const auto& entry) { return entry.second.durable && !entry.second.confirmed; }));
 }
 
 bool Fleet::in_doubt(const Job& job) const {
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -134,6 +134,8 @@
 
   private:
     void set_type(Machine& machine);
+    void describe(Machine& machine, const std::string& name, const std::string& type,
+                  const std::string& zone, bool spot);
 
     const Config& config_;
     const Catalog& catalog_;
