Try: pipelines reckoned to share what there is when a rank asks for more

Change: where the pipelines of a rank ask for more than is left to it, a pipeline's remaining makespan is reckoned on an even part of that; where all fits, the order is DSMF's own.

--- a/src/core/dsmf.cpp
+++ b/src/core/dsmf.cpp
@@ -196,11 +196,13 @@
     Result result;
     std::vector<std::vector<Seconds>> rpm(pipelines.size());
     result.makespan.assign(pipelines.size(), Seconds{0});
-    for (std::size_t p = 0; p < pipelines.size(); ++p)
+    for (std::size_t p = 0; p < pipelines.size(); ++p) {
         for (const auto& job : pipelines[p].eligible) {
             rpm[p].push_back(rpm_of(job, machines));
             result.makespan[p] = std::max(result.makespan[p], rpm[p].back());
         }
+        result.makespan[p] *= pipelines[p].stretch;
+    }
 
     result.order.resize(pipelines.size());
     std::iota(result.order.begin(), result.order.end(), std::size_t{0});
--- a/src/core/placing.cpp
+++ b/src/core/placing.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <map>
 
+#include "admission/sharing.hpp"
+
 namespace bendspindle::core {
 
 namespace {
@@ -68,6 +70,8 @@
         if (!fleet_.usable(machine, now) || machine.closing) continue;
         auto view = view_of(machine, now);
         if (view.zone >= config_.zones.size()) continue;
+        if (view.group >= snapshot.capacity.size()) snapshot.capacity.resize(view.group + 1);
+        snapshot.capacity[view.group] += catalog_[machine.type].size;
         snapshot.machines.push_back(&machine);
         snapshot.views.push_back(std::move(view));
     }
@@ -101,6 +105,39 @@
     return out;
 }
 
+double Placing::share_of(const Job& job, std::size_t tasks, const Snapshot& snapshot) const {
+    Resources usable;
+    std::size_t group = 0;
+    for (const auto& type : catalog_.types())
+        for (const auto& zone : config_.zones)
+            for (const bool spot : {false, true}) {
+                if (group < snapshot.capacity.size() && allowed(job.spec, type.name, zone, spot))
+                    usable += snapshot.capacity[group];
+                ++group;
+            }
+    const auto part = [&](double need, double of) {
+        return need > 0 && of > 0 ? need * static_cast<double>(tasks) / of : 0.0;
+    };
+    const auto& need = job.spec.need;
+    return std::max({part(need.cpus, usable.cpus), part(need.gpus, usable.gpus),
+                     part(need.memory_gb, usable.memory_gb)});
+}
+
+void Placing::share_out(Snapshot& snapshot, const Standing& standing) const {
+    std::map<int, double> used;
+    for (const auto& [serial, job] : pipelines_.all())
+        if (!job->over() && !job->placed.empty())
+            used[standing.rank(*job)] += share_of(*job, job->placed.size(), snapshot);
+    std::vector<admission::Asking> asking;
+    for (std::size_t p = 0; p < snapshot.pipelines.size(); ++p) {
+        const auto& pipeline = snapshot.pipelines[p];
+        const auto tasks = pipeline.eligible.front().tasks;
+        asking.push_back({pipeline.rank, share_of(*snapshot.jobs[p], tasks, snapshot)});
+    }
+    const auto factors = admission::stretch(asking, used);
+    for (std::size_t p = 0; p < factors.size(); ++p) snapshot.pipelines[p].stretch = factors[p];
+}
+
 void Placing::see_jobs(Snapshot& snapshot, const Standing& standing, TimePoint now) const {
     for (const auto& [serial, job] : pipelines_.all()) {
         if (job->over() || !job->durable || job->not_before > now) continue;
@@ -152,6 +189,7 @@
     see_machines(snapshot, now);
     see_jobs(snapshot, standing, now);
     if (snapshot.pipelines.empty()) return;
+    share_out(snapshot, standing);
     const auto result = dsmf::place(snapshot.pipelines, snapshot.views, config_.cycle);
     bind(result, snapshot, standing, now);
     std::vector<Job*> waiting;
