Try: floors for classes and teams that starve

Change: once a class's or team's oldest waiting job has waited for 60 s, its oldest jobs go first up to an even part of half of the machines, and are not stopped for others.

--- /dev/null
+++ b/src/admission/floors.cpp
@@ -0,0 +1,87 @@
+#include "admission/floors.hpp"
+
+#include <algorithm>
+#include <string_view>
+
+namespace bendspindle::admission {
+
+namespace {
+
+struct Party {
+    double weight = 1;
+    double floor = 0;
+    double used = 0;
+    double taken = 0;  // of the floor, by jobs that were marked for it
+    bool starving = false;
+};
+using Parties = std::map<std::string, Party, std::less<>>;
+
+// The floors of one dimension, classes or teams.
+class Dimension {
+  public:
+    Dimension(const std::vector<Holding>& jobs, std::string_view Holding::*name,
+              const std::map<std::string, double>& weights, const FloorSettings& settings)
+        : jobs_(jobs), name_(name) {
+        double sum = 0;
+        for (const auto& job : jobs) {
+            auto it = parties_.find(job.*name);
+            if (it == parties_.end()) {
+                it = parties_.emplace(job.*name, Party{}).first;
+                const auto weight = weights.find(it->first);
+                if (weight != weights.end()) it->second.weight = weight->second;
+                sum += it->second.weight;
+            }
+            it->second.used += job.used;
+            it->second.starving |= job.waiting > 0 && job.waited >= settings.patience;
+        }
+        for (auto& [key, party] : parties_)
+            party.floor = sum > 0 ? settings.whole * party.weight / sum : 0;
+    }
+
+    // What runs counts first, so that a floor that is filled by running work claims no more. A job
+    // is never cut: the last one may go beyond the floor by its own size.
+    void mark(std::vector<bool>& marked) {
+        for (std::size_t i = 0; i < jobs_.size(); ++i)
+            if (jobs_[i].used > 0) take(i, jobs_[i].used, marked);
+        for (std::size_t i = 0; i < jobs_.size(); ++i)
+            if (jobs_[i].waiting > 0) take(i, jobs_[i].waiting, marked);
+    }
+
+    std::map<std::string, double> behind() const {
+        std::map<std::string, double> out;
+        for (const auto& [key, party] : parties_)
+            if (party.starving && party.used < party.floor) out[key] = party.floor - party.used;
+        return out;
+    }
+
+  private:
+    void take(std::size_t job, double share, std::vector<bool>& marked) {
+        auto& party = parties_.find(jobs_[job].*name_)->second;
+        // Guard against urgent work kept waiting needlessly: a class that nobody keeps waiting has
+        // no use for its floor, and its work is placed and stopped as everybody's.
+        if (!party.starving || party.taken >= party.floor) return;
+        party.taken += share;
+        marked[job] = true;
+    }
+
+    const std::vector<Holding>& jobs_;
+    std::string_view Holding::*name_;
+    Parties parties_;
+};
+
+}  // namespace
+
+Floored floors(const std::vector<Holding>& oldest_first, const FloorSettings& settings) {
+    Floored out;
+    out.jobs.assign(oldest_first.size(), false);
+    if (settings.whole <= 0) return out;
+    Dimension classes(oldest_first, &Holding::job_class, settings.class_weights, settings);
+    Dimension teams(oldest_first, &Holding::team, settings.team_weights, settings);
+    classes.mark(out.jobs);
+    teams.mark(out.jobs);
+    out.behind_classes = classes.behind();
+    out.behind_teams = teams.behind();
+    return out;
+}
+
+}  // namespace bendspindle::admission
--- /dev/null
+++ b/src/core/capacity.cpp
@@ -0,0 +1,32 @@
+#include "core/capacity.hpp"
+
+#include <algorithm>
+
+namespace bendspindle::core {
+
+Capacity::Capacity(const Catalog& catalog, const Fleet& fleet) : catalog_(catalog) {
+    // Neighbours by name are mostly of one group.
+    Resources* sum = nullptr;
+    const Machine* last = nullptr;
+    for (const auto& [name, machine] : fleet.all()) {
+        if (!machine.type_known || !machine.reported || machine.draining()) continue;
+        if (!last || last->type != machine.type || last->spot != machine.spot ||
+            last->zone != machine.zone)
+            sum = &groups_[{machine.type, machine.zone, machine.spot}];
+        *sum += catalog[machine.type].size;
+        last = &machine;
+    }
+}
+
+double Capacity::share(const JobSpec& spec, std::size_t tasks) const {
+    Resources usable;
+    for (const auto& [group, sum] : groups_)
+        if (allowed(spec, catalog_[group.type].name, group.zone, group.spot)) usable += sum;
+    const auto part = [&](double need, double of) {
+        return need > 0 && of > 0 ? need * static_cast<double>(tasks) / of : 0.0;
+    };
+    return std::max({part(spec.need.cpus, usable.cpus), part(spec.need.gpus, usable.gpus),
+                     part(spec.need.memory_gb, usable.memory_gb)});
+}
+
+}  // namespace bendspindle::core
--- /dev/null
+++ b/src/core/capacity.hpp
@@ -0,0 +1,32 @@
+// What the machines there are add up to, and which part of that work takes: the common measure of
+// floors and of sharing, whatever resource the work asks for the most.
+#pragma once
+
+#include <map>
+#include <vector>
+
+#include "core/catalog.hpp"
+#include "core/config.hpp"
+#include "core/fleet.hpp"
+
+namespace bendspindle::core {
+
+class Capacity {
+  public:
+    Capacity(const Catalog& catalog, const Fleet& fleet);
+    // Of the machines that such work may use, the part that this many tasks take; 1 is all. 0 where
+    // there is no such machine.
+    double share(const JobSpec& spec, std::size_t tasks) const;
+
+  private:
+    struct Group {
+        std::size_t type;
+        std::string zone;
+        bool spot;
+        auto operator<=>(const Group&) const = default;
+    };
+    const Catalog& catalog_;
+    std::map<Group, Resources> groups_;
+};
+
+}  // namespace bendspindle::core
--- a/src/core/config.hpp
+++ b/src/core/config.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "admission/floors.hpp"
 #include "core/types.hpp"
 
 namespace bendspindle::core {
@@ -24,6 +25,7 @@
     double headroom = 1.0;
     // Demand is averaged over about this long.
     Seconds demand_memory{60};
+    admission::FloorSettings floors;
 
     // Null: no such team.
     const Team* team(const std::string& name_of_team) const {
--- a/src/core/dsmf.hpp
+++ b/src/core/dsmf.hpp
@@ -73,8 +73,8 @@
 
 struct Pipeline {
     int rank = 0;  // the exceptions: services, guarantees, preemption order. Lower goes first
-    double stretch = 1;  // of its makespan, where it must share what there is (admission/sharing)
     std::vector<EligibleJob> eligible;
+    double stretch = 1;  // of its makespan, where it must share what there is (admission/sharing)
 };
 
 struct Bind {
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr int service_step = 100;
+constexpr int floor_step = 50;
 constexpr int guarantee_step = 10;
 
 bool beyond(double used, double limit) {
@@ -16,8 +17,8 @@
 
 }  // namespace
 
-Standing Ledger::standing() const {
-    Standing out(config_);
+Standing Ledger::standing(TimePoint now) const {
+    Standing out(config_, Capacity(catalog_, fleet_));
     for (const auto& team : config_.teams) out.use_[team.name] = Resources{};
     std::map<std::string, Resources> claimed;
     for (const auto& [serial, job] : pipelines_.all()) {
@@ -38,11 +39,32 @@
         if (machine.confirmed || !machine.durable || !machine.type_known) continue;
         for (auto& [team, use] : out.use_) use += catalog_[machine.type].size;
     }
+    fill_floors(out, now);
     return out;
 }
 
+void Ledger::fill_floors(Standing& standing, TimePoint now) const {
+    std::vector<admission::Holding> holdings;
+    std::vector<std::uint64_t> serials;
+    for (const auto& [serial, job] : pipelines_.all()) {
+        if (job->over() || !job->durable) continue;
+        admission::Holding holding;
+        holding.job_class = job->spec.job_class;
+        holding.team = job->spec.team;
+        holding.used = standing.share(*job, job->placed.size());
+        holding.waiting = standing.share(*job, job->idle_count());
+        if (job->waits_since) holding.waited = between(*job->waits_since, now);
+        holdings.push_back(holding);
+        serials.push_back(serial);
+    }
+    const auto floored = admission::floors(holdings, config_.floors);
+    for (std::size_t i = 0; i < serials.size(); ++i)
+        if (floored.jobs[i]) standing.floored_.insert(serials[i]);
+}
+
 int Standing::rank(const Job& job) const {
     int rank = job.spec.kind == Kind::service ? 0 : service_step;
+    if (floored(job)) return rank - floor_step;
     if (!guaranteed(job)) rank += guarantee_step;
     return rank + static_cast<int>(Priority::production) - static_cast<int>(job.spec.priority);
 }
--- a/src/core/ledger.hpp
+++ b/src/core/ledger.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <unordered_set>
 
+#include "core/capacity.hpp"
 #include "core/catalog.hpp"
 #include "core/config.hpp"
 #include "core/fleet.hpp"
@@ -17,13 +18,20 @@
 // The teams' accounts at one moment; decisions taken since are entered with `take`.
 class Standing {
   public:
-    explicit Standing(const Config& config) : config_(config) {}
+    Standing(const Config& config, Capacity capacity)
+        : config_(config), capacity_(std::move(capacity)) {}
 
     // How many more of the job's tasks its team's limit allows now.
     std::uint32_t room(const Job& job) const;
     bool guaranteed(const Job& job) const { return guaranteed_.contains(job.serial); }
-    // The exceptions to the order of DSMF, lower goes first: services, work within its team's
-    // guarantee, then the order in which preemption would decide (docs/design.md).
+    // Whether the job fills the floor of a class or team that starves (admission/floors).
+    bool floored(const Job& job) const { return floored_.contains(job.serial); }
+    // Of the machines that the job may use, the part that this many of its tasks take.
+    double share(const Job& job, std::size_t tasks) const {
+        return capacity_.share(job.spec, tasks);
+    }
+    // The exceptions to the order of DSMF, lower goes first: services, floors, work within its
+    // team's guarantee, then the order in which preemption would decide (docs/design.md).
     int rank(const Job& job) const;
     void take(const Job& job) { use_[job.spec.team] += job.spec.need; }
 
@@ -31,7 +39,9 @@
     friend class Ledger;
     const Config& config_;
     std::map<std::string, Resources> use_;
+    Capacity capacity_;
     std::unordered_set<std::uint64_t> guaranteed_;  // serials
+    std::unordered_set<std::uint64_t> floored_;
 };
 
 class Ledger {
@@ -39,9 +49,11 @@
     Ledger(const Config& config, const Catalog& catalog, const Fleet& fleet,
            const Pipelines& pipelines)
         : config_(config), catalog_(catalog), fleet_(fleet), pipelines_(pipelines) {}
-    Standing standing() const;
+    Standing standing(TimePoint now) const;
 
   private:
+    void fill_floors(Standing& standing, TimePoint now) const;
+
     const Config& config_;
     const Catalog& catalog_;
     const Fleet& fleet_;
--- a/src/core/placing.cpp
+++ b/src/core/placing.cpp
@@ -70,8 +70,6 @@
         if (!fleet_.usable(machine, now) || machine.closing) continue;
         auto view = view_of(machine, now);
         if (view.zone >= config_.zones.size()) continue;
-        if (view.group >= snapshot.capacity.size()) snapshot.capacity.resize(view.group + 1);
-        snapshot.capacity[view.group] += catalog_[machine.type].size;
         snapshot.machines.push_back(&machine);
         snapshot.views.push_back(std::move(view));
     }
@@ -105,34 +103,16 @@
     return out;
 }
 
-double Placing::share_of(const Job& job, std::size_t tasks, const Snapshot& snapshot) const {
-    Resources usable;
-    std::size_t group = 0;
-    for (const auto& type : catalog_.types())
-        for (const auto& zone : config_.zones)
-            for (const bool spot : {false, true}) {
-                if (group < snapshot.capacity.size() && allowed(job.spec, type.name, zone, spot))
-                    usable += snapshot.capacity[group];
-                ++group;
-            }
-    const auto part = [&](double need, double of) {
-        return need > 0 && of > 0 ? need * static_cast<double>(tasks) / of : 0.0;
-    };
-    const auto& need = job.spec.need;
-    return std::max({part(need.cpus, usable.cpus), part(need.gpus, usable.gpus),
-                     part(need.memory_gb, usable.memory_gb)});
-}
-
 void Placing::share_out(Snapshot& snapshot, const Standing& standing) const {
     std::map<int, double> used;
     for (const auto& [serial, job] : pipelines_.all())
         if (!job->over() && !job->placed.empty())
-            used[standing.rank(*job)] += share_of(*job, job->placed.size(), snapshot);
+            used[standing.rank(*job)] += standing.share(*job, job->placed.size());
     std::vector<admission::Asking> asking;
     for (std::size_t p = 0; p < snapshot.pipelines.size(); ++p) {
         const auto& pipeline = snapshot.pipelines[p];
         const auto tasks = pipeline.eligible.front().tasks;
-        asking.push_back({pipeline.rank, share_of(*snapshot.jobs[p], tasks, snapshot)});
+        asking.push_back({pipeline.rank, standing.share(*snapshot.jobs[p], tasks)});
     }
     const auto factors = admission::stretch(asking, used);
     for (std::size_t p = 0; p < factors.size(); ++p) snapshot.pipelines[p].stretch = factors[p];
@@ -184,7 +164,7 @@
 
 void Placing::cycle(TimePoint now) {
     unbind_all(now);
-    auto standing = ledger_.standing();
+    auto standing = ledger_.standing(now);
     Snapshot snapshot;
     see_machines(snapshot, now);
     see_jobs(snapshot, standing, now);
--- a/src/core/placing.hpp
+++ b/src/core/placing.hpp
@@ -34,7 +34,6 @@
     struct Snapshot {
         std::vector<Machine*> machines;
         std::vector<dsmf::Machine> views;
-        std::vector<Resources> capacity;  // of the machines of each group
         std::vector<Job*> jobs;
         std::vector<dsmf::Pipeline> pipelines;
     };
@@ -43,8 +42,6 @@
     void see_machines(Snapshot& snapshot, TimePoint now);
     void see_jobs(Snapshot& snapshot, const Standing& standing, TimePoint now) const;
     dsmf::EligibleJob eligible(const Job& job, std::uint32_t tasks, const Snapshot& snapshot) const;
-    // Of the machines that the job may use, the part that this many of its tasks take.
-    double share_of(const Job& job, std::size_t tasks, const Snapshot& snapshot) const;
     // Stretches makespans where more is asked for than there is.
     void share_out(Snapshot& snapshot, const Standing& standing) const;
     void bind(const dsmf::Result& result, const Snapshot& snapshot, Standing& standing,
--- a/src/core/preemption.cpp
+++ b/src/core/preemption.cpp
@@ -23,12 +23,16 @@
 
 Claim claim_of(const Job& job, const Standing& standing) {
     const bool guaranteed = standing.guaranteed(job);
-    return {job.spec.priority, guaranteed, guaranteed && job.owed, job.spec.team};
+    return {job.spec.priority, guaranteed, guaranteed && job.owed, standing.floored(job),
+            job.spec.team};
 }
 
 }  // namespace
 
 bool Claim::may_stop(const Claim& other) const {
+    // Guard against starving by preemption: what little a class gets under a lasting flood of higher
+    // priority was stopped again before it was done.
+    if (other.floored) return false;
     // Guards against two jobs that stop each other in turn: between guaranteed work and a borrower
     // of higher priority, the borrower goes first until the guaranteed job is owed its place, and
     // never again after that. (Urgent work of a borrower waited half a minute and longer while
--- a/src/core/preemption.hpp
+++ b/src/core/preemption.hpp
@@ -24,6 +24,7 @@
     Priority priority = Priority::low;
     bool guaranteed = false;
     bool owed = false;  // waits too long already for what its team is guaranteed
+    bool floored = false;  // fills the floor of a class or team that starves
     std::string_view team;
 
     bool may_stop(const Claim& other) const;
--- a/src/core/renting.cpp
+++ b/src/core/renting.cpp
@@ -216,7 +216,7 @@
     std::vector<Want> out;
     std::map<std::string, ClassDemand> demand;
     std::map<std::string, std::uint32_t> asked;
-    const auto standing = ledger_.standing();
+    const auto standing = ledger_.standing(now);
     auto ending = endings(now);
     for (const auto& [serial, job] : pipelines_.all()) {
         if (job->over() || !job->durable) continue;
