--- a/src/admission/floors.cpp
+++ b/src/admission/floors.cpp
@@ -21,7 +21,7 @@
   public:
     Dimension(const std::vector<Holding>& jobs, std::string_view Holding::*name,
               const std::map<std::string, double>& weights, const FloorSettings& settings)
-        : jobs_(jobs), name_(name) {
+        : jobs_(jobs), name_(name), patience_(settings.patience) {
         double sum = 0;
         for (const auto& job : jobs) {
             auto it = parties_.find(job.*name);
@@ -32,7 +32,7 @@
                 sum += it->second.weight;
             }
             it->second.used += job.used;
-            it->second.starving |= job.waiting > 0 && job.waited >= settings.patience;
+            it->second.starving |= job.waiting > 0 && job.waited >= patience_;
         }
         for (auto& [key, party] : parties_)
             party.floor = sum > 0 ? settings.whole * party.weight / sum : 0;
@@ -44,7 +44,8 @@
         for (std::size_t i = 0; i < jobs_.size(); ++i)
             if (jobs_[i].used > 0) take(i, jobs_[i].used, marked);
         for (std::size_t i = 0; i < jobs_.size(); ++i)
-            if (jobs_[i].waiting > 0) take(i, jobs_[i].waiting, marked);
+            if (jobs_[i].waiting > 0 && jobs_[i].waited >= patience_)
+                take(i, jobs_[i].waiting, marked);
     }
 
     std::map<std::string, double> behind() const {
@@ -66,6 +67,7 @@
 
     const std::vector<Holding>& jobs_;
     std::string_view Holding::*name_;
+    std::chrono::duration<double> patience_;
     Parties parties_;
 };
 
--- a/src/core/preemption.cpp
+++ b/src/core/preemption.cpp
@@ -27,6 +27,15 @@
             job.spec.team};
 }
 
+// Guard: a floor holds on machines that suit the work. Arrays without need of a GPU held GPU
+// machines under their floor, and urgent GPU work waited for minutes.
+Claim claim_on(const Catalog& catalog, const Machine& machine, const Job& job,
+               const Standing& standing) {
+    auto claim = claim_of(job, standing);
+    claim.floored = claim.floored && catalog.suits(job.spec, catalog[machine.type]);
+    return claim;
+}
+
 }  // namespace
 
 bool Claim::may_stop(const Claim& other) const {
@@ -73,7 +82,7 @@
     std::vector<Victim> out;
     for (const auto& [key, task] : machine.held) {
         if (!may_be_stopped(*task.placement) || spoken_for_.contains(key)) continue;
-        if (!claim_.may_stop(claim_of(*task.job, standing_))) continue;
+        if (!claim_.may_stop(claim_on(catalog_, machine, *task.job, standing_))) continue;
         out.push_back({task.job, key.second, cost_of_stopping(*task.job, *task.placement)});
     }
     std::sort(out.begin(), out.end(),
@@ -212,7 +221,8 @@
         if (!fleet_.usable(machine, now) || machine.closing) continue;
         candidates.push_back(&machine);
         for (const auto& [key, task] : machine.held)
-            if (may_be_stopped(*task.placement)) stoppable.insert(claim_of(*task.job, standing));
+            if (may_be_stopped(*task.placement))
+                stoppable.insert(claim_on(catalog_, machine, *task.job, standing));
     }
     for (auto* job : waiting) {
         const auto claim = claim_of(*job, standing);
