--- a/src/core/placing.cpp
+++ b/src/core/placing.cpp
@@ -75,7 +75,9 @@
     }
 }
 
-dsmf::EligibleJob Placing::eligible(const Job& job, std::uint32_t tasks,
+// Guard against stopping in turn: under its floor, work without need of a GPU went before urgent GPU
+// work, onto GPU machines, where that stopped it again. A floor is filled where it holds.
+dsmf::EligibleJob Placing::eligible(const Job& job, std::uint32_t tasks, bool floored,
                                     const Snapshot& snapshot) const {
     dsmf::EligibleJob out;
     out.job = snapshot.jobs.size();
@@ -96,7 +98,8 @@
     for (const auto& type : catalog_.types())
         for (const auto& zone : config_.zones)
             for (const bool spot : {false, true})
-                out.groups.push_back(allowed(job.spec, type.name, zone, spot));
+                out.groups.push_back(allowed(job.spec, type.name, zone, spot) &&
+                                     (!floored || catalog_.suits(job.spec, type)));
     if (job.errors > 0 && snapshot.machines.size() > 1)
         for (std::size_t m = 0; m < snapshot.machines.size(); ++m)
             if (snapshot.machines[m]->failed_jobs.contains(job.spec.id)) out.barred.push_back(m);
@@ -131,7 +134,7 @@
         if (room == 0 || (gang && room < idle)) continue;
         dsmf::Pipeline pipeline;
         pipeline.rank = standing.rank(*job);
-        pipeline.eligible.push_back(eligible(*job, std::min(idle, room), snapshot));
+        pipeline.eligible.push_back(eligible(*job, std::min(idle, room), standing.floored(*job), snapshot));
         snapshot.pipelines.push_back(std::move(pipeline));
         snapshot.jobs.push_back(job.get());
     }
--- a/src/core/placing.hpp
+++ b/src/core/placing.hpp
@@ -41,7 +41,8 @@
     dsmf::Machine view_of(const Machine& machine, TimePoint now) const;
     void see_machines(Snapshot& snapshot, TimePoint now);
     void see_jobs(Snapshot& snapshot, const Standing& standing, TimePoint now) const;
-    dsmf::EligibleJob eligible(const Job& job, std::uint32_t tasks, const Snapshot& snapshot) const;
+    dsmf::EligibleJob eligible(const Job& job, std::uint32_t tasks, bool floored,
+                               const Snapshot& snapshot) const;
     // Stretches makespans where more is asked for than there is.
     void share_out(Snapshot& snapshot, const Standing& standing) const;
     void bind(const dsmf::Result& result, const Snapshot& snapshot, Standing& standing,
