--- a/src/admission/floors.cpp
+++ b/src/admission/floors.cpp
@@ -32,7 +32,7 @@
                 sum += it->second.weight;
             }
             it->second.used += job.used;
-            it->second.starving |= job.waiting > 0 && job.waited >= patience_;
+            it->second.starving |= waits(job);
         }
         for (auto& [key, party] : parties_)
             party.floor = sum > 0 ? settings.whole * party.weight / sum : 0;
@@ -40,12 +40,21 @@
 
     // What runs counts first, so that a floor that is filled by running work claims no more. A job
     // is never cut: the last one may go beyond the floor by its own size.
-    void mark(std::vector<bool>& marked) {
+    void mark(std::vector<bool>& marked, std::vector<bool>& sheltered) {
+        // One alone has nobody to be shut out by.
+        if (parties_.size() < 2) return;
         for (std::size_t i = 0; i < jobs_.size(); ++i)
-            if (jobs_[i].used > 0) take(i, jobs_[i].used, marked);
+            if (jobs_[i].kept) take(i, jobs_[i].used + jobs_[i].waiting, marked);
+        for (std::size_t i = 0; i < jobs_.size(); ++i) {
+            if (jobs_[i].kept || jobs_[i].used <= 0) continue;
+            auto& party = party_of(i);
+            // Guard: without a shelter the urgent work that shuts a class out stopped what that
+            // class ran, and the class never filled its floor.
+            sheltered[i] = party.starving && party.taken < party.floor;
+            party.taken += jobs_[i].used;
+        }
         for (std::size_t i = 0; i < jobs_.size(); ++i)
-            if (jobs_[i].waiting > 0 && jobs_[i].waited >= patience_)
-                take(i, jobs_[i].waiting, marked);
+            if (waits(jobs_[i])) take(i, jobs_[i].waiting, marked);
     }
 
     std::map<std::string, double> behind() const {
@@ -56,11 +65,13 @@
     }
 
   private:
+    bool waits(const Holding& job) const {
+        return !job.kept && job.waiting > 0 && job.waited >= patience_;
+    }
+    Party& party_of(std::size_t job) { return parties_.find(jobs_[job].*name_)->second; }
     void take(std::size_t job, double share, std::vector<bool>& marked) {
-        auto& party = parties_.find(jobs_[job].*name_)->second;
-        // Guard against urgent work kept waiting needlessly: a class that nobody keeps waiting has
-        // no use for its floor, and its work is placed and stopped as everybody's.
-        if (!party.starving || party.taken >= party.floor) return;
+        auto& party = party_of(job);
+        if (party.taken >= party.floor) return;
         party.taken += share;
         marked[job] = true;
     }
@@ -76,11 +87,12 @@
 Floored floors(const std::vector<Holding>& oldest_first, const FloorSettings& settings) {
     Floored out;
     out.jobs.assign(oldest_first.size(), false);
+    out.class_shelters = out.team_shelters = out.jobs;
     if (settings.whole <= 0) return out;
     Dimension classes(oldest_first, &Holding::job_class, settings.class_weights, settings);
     Dimension teams(oldest_first, &Holding::team, settings.team_weights, settings);
-    classes.mark(out.jobs);
-    teams.mark(out.jobs);
+    classes.mark(out.jobs, out.class_shelters);
+    teams.mark(out.jobs, out.team_shelters);
     out.behind_classes = classes.behind();
     out.behind_teams = teams.behind();
     return out;
--- a/src/core/dsmf.cpp
+++ b/src/core/dsmf.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <map>
 #include <numeric>
 #include <optional>
 
@@ -66,19 +67,31 @@
 // Machines as they were before a trial changed them.
 using Originals = std::vector<std::pair<std::size_t, Machine>>;
 
+// Machines that are kept for a gang, and until when: by then all of its machines have opened.
+using Reservations = std::map<std::size_t, Seconds>;
+
 // Binds up to all tasks of a job, each to the machine that then finishes it the earliest. A bind
 // changes one machine only, so a heap of the candidates finds the next one without looking at all
 // machines again. Zones that are closed to a job stay closed, so a candidate there is dropped.
 std::vector<Choice> bind_tasks(const EligibleJob& job, std::vector<Machine>& machines,
                                const std::vector<std::size_t>& open, Seconds cycle,
-                               std::optional<std::size_t> only_zone, Originals* originals) {
+                               const Reservations& reserved, std::optional<std::size_t> only_zone,
+                               Originals* originals) {
+    // What ends before the rest of the gang's machines open does not delay it.
+    const auto choose = [&](std::size_t m) {
+        auto choice = choice_of(job, machines, m, cycle);
+        if (!choice || reserved.empty()) return choice;
+        const auto kept = reserved.find(m);
+        if (kept != reserved.end() && choice->finish > kept->second) choice.reset();
+        return choice;
+    };
     const auto later_one = [](const Choice& a, const Choice& b) { return a.after(b); };
     std::vector<Choice> heap;
     auto in_zone = job.in_zone;
     for (const auto m : open) {
         if (only_zone && machines[m].zone != *only_zone) continue;
         if (!job.allows(machines[m], m)) continue;
-        if (const auto choice = choice_of(job, machines, m, cycle)) heap.push_back(*choice);
+        if (const auto choice = choose(m)) heap.push_back(*choice);
     }
     std::make_heap(heap.begin(), heap.end(), later_one);
     std::vector<Choice> chosen;
@@ -96,7 +109,7 @@
         take(machine, job);
         ++in_zone[machine.zone];
         chosen.push_back(choice);
-        if (const auto again = choice_of(job, machines, choice.machine, cycle)) {
+        if (const auto again = choose(choice.machine)) {
             heap.push_back(*again);
             std::push_heap(heap.begin(), heap.end(), later_one);
         }
@@ -107,14 +120,15 @@
 // Binds a gang whole or not at all. With `one_zone`, each zone is tried and the one whose last
 // task finishes first is taken.
 std::vector<Choice> bind_gang(const EligibleJob& job, std::vector<Machine>& machines,
-                              const std::vector<std::size_t>& open, Seconds cycle) {
+                              const std::vector<std::size_t>& open, Seconds cycle,
+                              const Reservations& reserved) {
     std::optional<Seconds> best_finish;
     std::vector<Choice> best;
     const std::size_t tries = job.one_zone ? job.in_zone.size() : 1;
     for (std::size_t only = 0; only < tries; ++only) {
         if (job.one_zone && !zone_allows(job, job.in_zone, only)) continue;
         Originals originals;
-        auto chosen = bind_tasks(job, machines, open, cycle,
+        auto chosen = bind_tasks(job, machines, open, cycle, reserved,
                                  job.one_zone ? std::optional(only) : std::nullopt, &originals);
         for (auto& [m, original] : originals) machines[m] = std::move(original);
         if (chosen.size() != job.tasks) continue;
@@ -128,6 +142,33 @@
     return best;
 }
 
+// Guard against starving by size: a gang of many machines never found all of them free at once while
+// smaller work took each as it opened. Its machines are those that open the earliest, in the zone
+// where the last of them does; they are kept, but for work that ends before.
+void reserve(const EligibleJob& job, const std::vector<Machine>& machines, Reservations& reserved) {
+    std::vector<std::size_t> best;
+    Seconds best_until = never;
+    const std::size_t tries = job.one_zone ? job.in_zone.size() : 1;
+    for (std::size_t only = 0; only < tries; ++only) {
+        if (job.one_zone && !zone_allows(job, job.in_zone, only)) continue;
+        std::vector<std::pair<Seconds, std::size_t>> opening;
+        for (std::size_t m = 0; m < machines.size(); ++m) {
+            if ((job.one_zone && machines[m].zone != only) || reserved.contains(m)) continue;
+            if (!job.allows(machines[m], m)) continue;
+            const auto opens = opens_in(machines[m], job.need);
+            if (opens != never) opening.push_back({opens, m});
+        }
+        if (opening.size() < job.tasks) continue;
+        std::nth_element(opening.begin(), opening.begin() + (job.tasks - 1), opening.end());
+        const auto until = opening[job.tasks - 1].first;
+        if (until >= best_until) continue;
+        best_until = until;
+        best.clear();
+        for (std::size_t i = 0; i < job.tasks; ++i) best.push_back(opening[i].second);
+    }
+    for (const auto m : best) reserved[m] = best_until;
+}
+
 // RPM of an eligible job: wait, input and run time on the best candidate, plus the path behind.
 // Where no candidate is known, the fleet's averages stand in: no wait, run time only.
 Seconds rpm_of(const EligibleJob& job, const std::vector<Machine>& machines) {
@@ -220,6 +261,7 @@
         if (soon || machine.free.cpus > 0 || machine.free.gpus > 0) open.push_back(m);
     }
 
+    Reservations reserved;
     for (const auto p : result.order) {
         const auto& pipeline = pipelines[p];
         std::vector<std::size_t> jobs(pipeline.eligible.size());
@@ -229,13 +271,16 @@
         for (const auto j : jobs) {
             const auto& job = pipeline.eligible[j];
             const auto chosen =
-                job.gang ? bind_gang(job, machines, open, cycle)
-                         : bind_tasks(job, machines, open, cycle, std::nullopt, nullptr);
+                job.gang ? bind_gang(job, machines, open, cycle, reserved)
+                         : bind_tasks(job, machines, open, cycle, reserved, std::nullopt, nullptr);
+            if (chosen.empty() && job.gang && job.tasks > 0 && pipeline.reserves && !job.spread)
+                reserve(job, machines, reserved);
             for (const auto& choice : chosen)
                 result.binds.push_back(Bind{p, job.job, choice.machine, choice.opens, rpm[p][j],
                                             result.makespan[p]});
         }
     }
+    for (const auto& [machine, until] : reserved) result.reserved.push_back(machine);
     return result;
 }
 
--- a/src/core/dsmf.hpp
+++ b/src/core/dsmf.hpp
@@ -75,6 +75,8 @@
     int rank = 0;  // the exceptions: services, guarantees, preemption order. Lower goes first
     std::vector<EligibleJob> eligible;
     double stretch = 1;  // of its makespan, where it must share what there is (admission/sharing)
+    // Its gangs that find no room keep machines for themselves until all of them have opened.
+    bool reserves = false;
 };
 
 struct Bind {
@@ -87,6 +89,7 @@
 };
 
 struct Result {
+    std::vector<std::size_t> reserved;  // machines kept for gangs of pipelines that reserve
     std::vector<Bind> binds;
     // Pipelines in the order they were handled, and their makespans.
     std::vector<std::size_t> order;
--- a/src/core/job.hpp
+++ b/src/core/job.hpp
@@ -70,6 +70,9 @@
     // Since when it has waited without any of it being started; none: it is not waiting.
     std::optional<TimePoint> waits_since;
     bool owed = false;     // it has once waited so long that its team's guarantee comes first
+    // Was placed under a floor, and keeps it: a class whose job had just been started starved no
+    // more, and the job was stopped again for those who had kept it waiting.
+    bool floored = false;
     bool started = false;  // all tasks of a gang, or one of an array, have run at once
     bool accepted_here = false;  // in this epoch: no older epoch can have started any of it
     Final final = Final::none;
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 constexpr int service_step = 100;
-constexpr int floor_step = 50;
+constexpr int floors_from = 10;  // between services and everything else
+constexpr int floors_to = 90;
 constexpr int guarantee_step = 10;
 
 bool beyond(double used, double limit) {
@@ -54,17 +55,28 @@
         holding.used = standing.share(*job, job->placed.size());
         holding.waiting = standing.share(*job, job->idle_count());
         if (job->waits_since) holding.waited = between(*job->waits_since, now);
+        holding.kept = job->floored;
         holdings.push_back(holding);
         serials.push_back(serial);
     }
     const auto floored = admission::floors(holdings, config_.floors);
-    for (std::size_t i = 0; i < serials.size(); ++i)
-        if (floored.jobs[i]) standing.floored_.insert(serials[i]);
+    // Guard: under their floors jobs go by age. By makespan, jobs of a class that is served beyond
+    // its floor most of the time kept a long one of another class out at each turn.
+    int rank = floors_from;
+    for (std::size_t i = 0; i < serials.size(); ++i) {
+        if (floored.class_shelters[i]) standing.class_shelters_.insert(serials[i]);
+        if (floored.team_shelters[i]) standing.team_shelters_.insert(serials[i]);
+        if (floored.jobs[i]) {
+            standing.floored_.emplace(serials[i], rank);
+            if (holdings[i].waiting > 0) rank = std::min(rank + 1, floors_to);
+        }
+    }
 }
 
 int Standing::rank(const Job& job) const {
     int rank = job.spec.kind == Kind::service ? 0 : service_step;
-    if (floored(job)) return rank - floor_step;
+    if (const auto it = floored_.find(job.serial); it != floored_.end() && rank > 0)
+        return it->second;
     if (!guaranteed(job)) rank += guarantee_step;
     return rank + static_cast<int>(Priority::production) - static_cast<int>(job.spec.priority);
 }
--- a/src/core/ledger.hpp
+++ b/src/core/ledger.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <unordered_set>
 
 #include "core/capacity.hpp"
@@ -26,6 +27,9 @@
     bool guaranteed(const Job& job) const { return guaranteed_.contains(job.serial); }
     // Whether the job fills the floor of a class or team that starves (admission/floors).
     bool floored(const Job& job) const { return floored_.contains(job.serial); }
+    // Whether it runs within the floor of its class, or team, while that starves.
+    bool class_shelter(const Job& job) const { return class_shelters_.contains(job.serial); }
+    bool team_shelter(const Job& job) const { return team_shelters_.contains(job.serial); }
     // Of the machines that the job may use, the part that this many of its tasks take.
     double share(const Job& job, std::size_t tasks) const {
         return capacity_.share(job.spec, tasks);
@@ -41,7 +45,9 @@
     std::map<std::string, Resources> use_;
     Capacity capacity_;
     std::unordered_set<std::uint64_t> guaranteed_;  // serials
-    std::unordered_set<std::uint64_t> floored_;
+    std::unordered_map<std::uint64_t, int> floored_;  // serial -> rank, the oldest first
+    std::unordered_set<std::uint64_t> class_shelters_;
+    std::unordered_set<std::uint64_t> team_shelters_;
 };
 
 class Ledger {
--- a/src/core/placing.cpp
+++ b/src/core/placing.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 #include "admission/sharing.hpp"
 
@@ -134,7 +135,9 @@
         if (room == 0 || (gang && room < idle)) continue;
         dsmf::Pipeline pipeline;
         pipeline.rank = standing.rank(*job);
-        pipeline.eligible.push_back(eligible(*job, std::min(idle, room), standing.floored(*job), snapshot));
+        const bool floored = standing.floored(*job);
+        pipeline.reserves = floored;
+        pipeline.eligible.push_back(eligible(*job, std::min(idle, room), floored, snapshot));
         snapshot.pipelines.push_back(std::move(pipeline));
         snapshot.jobs.push_back(job.get());
     }
@@ -160,6 +163,7 @@
         placement.rank = snapshot.pipelines[decision.pipeline].rank;
         placement.makespan = decision.makespan;
         placement.rpm = decision.rpm;
+        job.floored |= standing.floored(job);
         pipelines_.bind(job, *snapshot.machines[decision.machine], placement, now);
         standing.take(job);
     }
@@ -178,7 +182,9 @@
     std::vector<Job*> waiting;
     for (const auto p : result.order)
         if (snapshot.jobs[p]->idle_count() > 0) waiting.push_back(snapshot.jobs[p]);
-    preemption_.make_room(waiting, standing, now);
+    std::set<const Machine*> reserved;
+    for (const auto m : result.reserved) reserved.insert(snapshot.machines[m]);
+    preemption_.make_room(waiting, reserved, standing, now);
 }
 
 }  // namespace bendspindle::core
--- a/src/core/preemption.cpp
+++ b/src/core/preemption.cpp
@@ -23,8 +23,14 @@
 
 Claim claim_of(const Job& job, const Standing& standing) {
     const bool guaranteed = standing.guaranteed(job);
-    return {job.spec.priority, guaranteed, guaranteed && job.owed, standing.floored(job),
-            job.spec.team};
+    return {job.spec.priority,
+            guaranteed,
+            guaranteed && job.owed,
+            standing.floored(job),
+            standing.class_shelter(job),
+            standing.team_shelter(job),
+            job.spec.team,
+            job.spec.job_class};
 }
 
 // Guard: a floor holds on machines that suit the work. Arrays without need of a GPU held GPU
@@ -32,7 +38,8 @@
 Claim claim_on(const Catalog& catalog, const Machine& machine, const Job& job,
                const Standing& standing) {
     auto claim = claim_of(job, standing);
-    claim.floored = claim.floored && catalog.suits(job.spec, catalog[machine.type]);
+    if (!catalog.suits(job.spec, catalog[machine.type]))
+        claim.floored = claim.class_shelter = claim.team_shelter = false;
     return claim;
 }
 
@@ -42,6 +49,8 @@
     // Guard against starving by preemption: what little a class gets under a lasting flood of higher
     // priority was stopped again before it was done.
     if (other.floored) return false;
+    if (other.class_shelter && other.job_class != job_class) return false;
+    if (other.team_shelter && other.team != team) return false;
     // Guards against two jobs that stop each other in turn: between guaranteed work and a borrower
     // of higher priority, the borrower goes first until the guaranteed job is owed its place, and
     // never again after that. (Urgent work of a borrower waited half a minute and longer while
@@ -185,7 +194,6 @@
 Seconds Preemption::stop(const Victim& victim) {
     auto& job = *victim.job;
     const auto grace = saves(job) ? job.spec.save_time + Seconds{1} : Seconds{0};
-    ++stopped_;
     // A gang is stopped as a whole, in one go, so that its progress is saved.
     if (job.spec.kind == Kind::gang)
         Pipelines::stop_all(job, grace);
@@ -208,18 +216,23 @@
         placement.rank = standing.rank(job);
         placement.makespan = placement.rpm = run;
         placement.held_until = later(now, longest + hold_beyond_save + config_.workers.report);
+        job.floored |= standing.floored(job);
         pipelines_.bind(job, *plan.machine, placement, now);
         standing.take(job);
     }
 }
 
-void Preemption::make_room(const std::vector<Job*>& waiting, Standing& standing, TimePoint now) {
+void Preemption::make_room(const std::vector<Job*>& waiting,
+                           const std::set<const Machine*>& reserved, Standing& standing,
+                           TimePoint now) {
     // On most cycles nobody waiting may stop anything, and no machine needs to be looked at.
     std::set<Claim> stoppable;
-    std::vector<Machine*> candidates;
+    std::vector<Machine*> all;
+    std::vector<Machine*> unreserved;
     for (auto& [name, machine] : fleet_.all()) {
         if (!fleet_.usable(machine, now) || machine.closing) continue;
-        candidates.push_back(&machine);
+        all.push_back(&machine);
+        if (!reserved.contains(&machine)) unreserved.push_back(&machine);
         for (const auto& [key, task] : machine.held)
             if (may_be_stopped(*task.placement))
                 stoppable.insert(claim_on(catalog_, machine, *task.job, standing));
@@ -231,6 +244,7 @@
         if (std::none_of(stoppable.begin(), stoppable.end(),
                          [&](const Claim& other) { return claim.may_stop(other); }))
             continue;
+        const auto& candidates = standing.floored(*job) ? all : unreserved;
         const auto plans = plans_for(*job, standing, candidates, now);
         if (!plans.empty()) carry_out(*job, plans, standing, now);
     }
--- a/src/core/preemption.hpp
+++ b/src/core/preemption.hpp
@@ -19,13 +19,16 @@
 
 namespace bendspindle::core {
 
-// What decides who may stop whom. The team's name is the job's own.
+// What decides who may stop whom. The names are the job's own.
 struct Claim {
     Priority priority = Priority::low;
     bool guaranteed = false;
     bool owed = false;  // waits too long already for what its team is guaranteed
     bool floored = false;  // fills the floor of a class or team that starves
+    bool class_shelter = false;  // runs within its class's floor
+    bool team_shelter = false;
     std::string_view team;
+    std::string_view job_class;
 
     bool may_stop(const Claim& other) const;
     auto operator<=>(const Claim&) const = default;
@@ -83,9 +86,10 @@
           pipelines_(pipelines),
           estimates_(estimates) {}
 
-    // `waiting` in the order of DSMF: what it could not bind.
-    void make_room(const std::vector<Job*>& waiting, Standing& standing, TimePoint now);
-    std::uint64_t stopped() const { return stopped_; }
+    // `waiting` in the order of DSMF: what it could not bind. `reserved`: machines that are kept for
+    // gangs under a floor; only work under a floor makes room there.
+    void make_room(const std::vector<Job*>& waiting, const std::set<const Machine*>& reserved,
+                   Standing& standing, TimePoint now);
 
   private:
     std::vector<RoomPlan> plans_for(const Job& job, const Standing& standing,
@@ -99,7 +103,6 @@
     Fleet& fleet_;
     Pipelines& pipelines_;
     const Estimates& estimates_;
-    std::uint64_t stopped_ = 0;
 };
 
 }  // namespace bendspindle::core
--- a/tests/regress_test.py
+++ b/tests/regress_test.py
@@ -111,6 +111,16 @@
             self.assertEqual(code, 1)
             self.assertIn(said, text)
 
+    def test_a_class_under_half_served_fails_by_its_longest_aim(self):
+        aims = [["wait slot 70 s: 0.301 (aim 0.8)", 0.1], ["wait slot 180 s: 0.49 (aim 0.9)", 0.1],
+                ["deadline scan 1x: 0.2 (aim 0.9)", 0.1], ["deadline scan 1.5x: 0.6 (aim 0.9)", 0.2],
+                ["useful: 0.3 (aim 0.8)", 0.1]]
+        self.bench_writes(entry(score=0.9, aims=aims))
+        code, text = self.regress("quick")
+        self.assertEqual(code, 1)
+        self.assertIn("only 0.49 of slot served in time", text)
+        self.assertNotIn("scan", text)
+
     def test_a_run_that_broke_off_fails(self):
         self.bench_writes(entry(ok=False, score=None))
         code, text = self.regress("quick")
--- a/tests/standin/world.cpp
+++ b/tests/standin/world.cpp
@@ -533,6 +533,9 @@
         config_.objectives.start_within[words.at(1)] = Seconds(std::stod(words.at(2)));
     } else if (verb == "headroom") {
         config_.headroom = std::stod(words.at(1));
+    } else if (verb == "floors") {
+        config_.floors.whole = std::stod(words.at(1));
+        config_.floors.patience = Seconds(std::stod(words.at(2)));
     } else if (verb == "keep-idle") {
         config_.idle_return = Seconds(std::stod(words.at(1)));
     } else if (verb == "expect") {
