Try: machines that cannot be the earliest are ruled out without their releases

Change: a compact outline of each machine rules it out by its room and first release; a machine without room for the least that waits is no candidate.

--- a/src/core/dsmf.cpp
+++ b/src/core/dsmf.cpp
@@ -169,13 +169,48 @@
     for (const auto m : best) reserved[m] = best_until;
 }
 
+// What a cycle asks of each machine for each waiting job, kept close together: on a full day nearly
+// all of them are ruled out by it, without a look at their releases.
+struct Outline {
+    Resources free;
+    Seconds first_release = never;
+    std::size_t machine = 0;
+};
+
+std::vector<Outline> outlines_of(const std::vector<Machine>& machines) {
+    std::vector<Outline> out;
+    out.reserve(machines.size());
+    for (std::size_t m = 0; m < machines.size(); ++m) {
+        const auto& releases = machines[m].releases;
+        out.push_back({machines[m].free, releases.empty() ? never : releases.front().in, m});
+    }
+    std::sort(out.begin(), out.end(), [](const Outline& a, const Outline& b) {
+        return a.first_release < b.first_release;
+    });
+    return out;
+}
+
+double fastest(const std::vector<Machine>& machines) {
+    double speed = 0;
+    for (const auto& machine : machines) speed = std::max(speed, machine.speed);
+    return speed;
+}
+
 // RPM of an eligible job: wait, input and run time on the best candidate, plus the path behind.
-// Where no candidate is known, the fleet's averages stand in: no wait, run time only.
-Seconds rpm_of(const EligibleJob& job, const std::vector<Machine>& machines) {
+// Where no candidate is known, the fleet's averages stand in: no wait, run time only. Machines come
+// by their first release: once that alone is later than the best finish, only those with room now
+// can still be better.
+Seconds rpm_of(const EligibleJob& job, const std::vector<Machine>& machines,
+               const std::vector<Outline>& outlines, double speed) {
     Seconds best = never;
-    for (std::size_t m = 0; m < machines.size(); ++m) {
-        if (!job.allows(machines[m], m)) continue;
-        best = std::min(best, finish_time(machines[m], job));
+    const auto least_run = speed > 0 ? job.run / speed : Seconds{0};
+    for (const auto& outline : outlines) {
+        const bool room = outline.free.holds(job.need);
+        if (!room && (outline.first_release == never || outline.first_release + least_run >= best))
+            continue;
+        const auto& machine = machines[outline.machine];
+        if (!job.allows(machine, outline.machine)) continue;
+        best = std::min(best, finish_time(machine, job));
     }
     if (best == never) best = job.run;
     return best + job.rest_after;
@@ -237,9 +272,11 @@
     Result result;
     std::vector<std::vector<Seconds>> rpm(pipelines.size());
     result.makespan.assign(pipelines.size(), Seconds{0});
+    const auto outlines = outlines_of(machines);
+    const auto speed = fastest(machines);
     for (std::size_t p = 0; p < pipelines.size(); ++p) {
         for (const auto& job : pipelines[p].eligible) {
-            rpm[p].push_back(rpm_of(job, machines));
+            rpm[p].push_back(rpm_of(job, machines, outlines, speed));
             result.makespan[p] = std::max(result.makespan[p], rpm[p].back());
         }
         result.makespan[p] *= pipelines[p].stretch;
@@ -253,12 +290,20 @@
     });
 
     // Only machines with some room within the cycle are looked at for binds: on a full day that
-    // is a few of hundreds.
+    // is a few of hundreds. What no waiting job is small enough for is no room.
+    Resources least{std::numeric_limits<double>::max(), std::numeric_limits<double>::max(),
+                    std::numeric_limits<double>::max()};
+    for (const auto& pipeline : pipelines)
+        for (const auto& job : pipeline.eligible) {
+            least.cpus = std::min(least.cpus, job.need.cpus);
+            least.gpus = std::min(least.gpus, job.need.gpus);
+            least.memory_gb = std::min(least.memory_gb, job.need.memory_gb);
+        }
     std::vector<std::size_t> open;
     for (std::size_t m = 0; m < machines.size(); ++m) {
         const auto& machine = machines[m];
         const bool soon = !machine.releases.empty() && machine.releases.front().in <= cycle;
-        if (soon || machine.free.cpus > 0 || machine.free.gpus > 0) open.push_back(m);
+        if (soon || machine.free.holds(least)) open.push_back(m);
     }
 
     Reservations reserved;
