Operators set floors and weights; one way to stop tasks so that they save

Need: floors had defaults only; the grace for saving and 'a gang whole' were written twice, and each health probe copied all machine types. Pipelines::stop_to_save and JobSpec::saves serve dispatch and preemption; Office::knows_types.

--- /dev/null
+++ b/deploy/admission.sexp
@@ -0,0 +1,7 @@
+; Floors under overload, with their defaults; docs/operating-overload.md. Pass the file with --admission.
+; An unknown entry, a team that the platform's settings do not name, or a bad number is refused.
+((floors 0.5)       ; part of the machines that all floors together may claim; 0: no floors
+ (patience-s 60))   ; a job that has waited as long for its start claims its class's or team's floor
+; Weights, 1 where none is given:
+; (class NAME 2)
+; (team NAME 0.5)
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -55,9 +55,11 @@
     for (std::size_t i = 0; i < doublings && !threads_start_with(stack); ++i) stack *= 2;
 }
 
-int serve(const std::string& config, const std::string& operator_file) {
+int serve(const std::string& config, const std::string& operator_file,
+          const std::string& admission_file) {
     auto settings = app::load_settings(config);
     auto own = app::load_operator_settings(operator_file);
+    own.floors = app::load_admission(admission_file, settings);
     fit_small_machines(own);
     set_up_logging(own);
     app::catch_stop_signals();
@@ -74,6 +76,7 @@
     cli.require_subcommand(1);
     std::string config;
     std::string operator_file;
+    std::string admission_file;
     std::string endpoint;
     std::string argument;
 
@@ -82,6 +85,7 @@
     for (auto* verb : {serve_verb, check_verb}) {
         verb->add_option("--config", config, "the platform's settings (JSON)")->required();
         verb->add_option("--operator", operator_file, "the operators' settings (S-expressions)");
+        verb->add_option("--admission", admission_file, "floors and weights (S-expressions)");
     }
     auto* submit_verb = cli.add_subcommand("submit", "submit the job described in a JSON file");
     auto* status_verb = cli.add_subcommand("status", "show the state of a job");
@@ -98,10 +102,11 @@
         return code == 0 ? 0 : bad_settings;
     }
     try {
-        if (*serve_verb) return serve(config, operator_file);
+        if (*serve_verb) return serve(config, operator_file, admission_file);
         if (*check_verb) {
-            app::load_settings(config);
+            const auto settings = app::load_settings(config);
             app::load_operator_settings(operator_file);
+            app::load_admission(admission_file, settings);
             std::cout << "settings are good\n";
             return 0;
         }
--- a/src/app/office.hpp
+++ b/src/app/office.hpp
@@ -48,6 +48,10 @@
         const std::lock_guard lock(types_mutex);
         return known_types;
     }
+    bool knows_types() const {
+        const std::lock_guard lock(types_mutex);
+        return !known_types.empty();
+    }
     void learn_types(std::vector<core::MachineType> types) {
         {
             const std::lock_guard lock(types_mutex);
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -406,7 +406,7 @@
 }
 
 bool Service::healthy() const {
-    if (office_.types().empty()) return false;
+    if (!office_.knows_types()) return false;
     const auto now = Clock::now();
     return now - store_.last_ok() < health_memory ||
            now - last_sibling_answer_.load() < health_memory;
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -152,9 +152,11 @@
     return s;
 }
 
-OperatorSettings load_operator_settings(const std::string& file) {
-    OperatorSettings own;
-    if (file.empty()) return own;
+namespace {
+
+// Calls `take` with the words of each entry of a file of the operators: a list of lists of words.
+void each_entry(const std::string& file, const std::string& shape,
+                const std::function<bool(const std::vector<std::string>&)>& take) {
     auto text = read_file(file);
     // The library takes the first expression of a text; comments are not its business.
     std::istringstream lines(text);
@@ -164,17 +166,38 @@
     const std::unique_ptr<sexp_t, void (*)(sexp_t*)> root(
         parse_sexp(stripped.data(), stripped.size()), destroy_sexp);
     if (!root || root->ty != SEXP_LIST) throw SettingsError(file + ": is not an S-expression list");
+    for (const sexp_t* entry = root->list; entry; entry = entry->next) {
+        std::vector<std::string> words;
+        bool good = entry->ty == SEXP_LIST;
+        for (const sexp_t* word = good ? entry->list : nullptr; word; word = word->next) {
+            good = good && word->ty == SEXP_VALUE;
+            if (good) words.emplace_back(word->val);
+        }
+        if (!good || !take(words)) throw SettingsError(file + ": an entry is not " + shape);
+    }
+}
+
+double number_in(const std::string& file, const std::string& name, const std::string& value) {
+    std::size_t used = 0;
+    double d = -1;
+    try {
+        d = std::stod(value, &used);
+    } catch (const std::exception&) {
+        used = 0;
+    }
+    if (used != value.size() || !std::isfinite(d) || d < 0)
+        throw SettingsError(file + ": " + name + " must be a number from 0");
+    return d;
+}
 
+}  // namespace
+
+OperatorSettings load_operator_settings(const std::string& file) {
+    OperatorSettings own;
+    if (file.empty()) return own;
     const auto number = [&](const std::string& name, const std::string& value) {
-        std::size_t used = 0;
-        double d = -1;
-        try {
-            d = std::stod(value, &used);
-        } catch (const std::exception&) {
-            used = 0;
-        }
-        if (used != value.size() || !std::isfinite(d) || d <= 0)
-            throw SettingsError(file + ": " + name + " must be a number above 0");
+        const auto d = number_in(file, name, value);
+        if (d <= 0) throw SettingsError(file + ": " + name + " must be a number above 0");
         return d;
     };
     const std::map<std::string, std::function<void(const std::string&, const std::string&)>> known{
@@ -207,19 +230,51 @@
              own.finals_cached = static_cast<std::size_t>(number(n, v));
          }}};
 
-    for (const sexp_t* entry = root->list; entry; entry = entry->next) {
-        const bool pair = entry->ty == SEXP_LIST && entry->list && entry->list->ty == SEXP_VALUE &&
-                          entry->list->next && entry->list->next->ty == SEXP_VALUE &&
-                          !entry->list->next->next;
-        if (!pair) throw SettingsError(file + ": an entry is not (NAME VALUE)");
-        const std::string name = entry->list->val;
-        const auto it = known.find(name);
-        if (it == known.end()) throw SettingsError(file + ": " + name + " is not a known setting");
-        it->second(name, entry->list->next->val);
-    }
+    each_entry(file, "(NAME VALUE)", [&](const std::vector<std::string>& words) {
+        if (words.size() != 2) return false;
+        const auto it = known.find(words[0]);
+        if (it == known.end())
+            throw SettingsError(file + ": " + words[0] + " is not a known setting");
+        it->second(words[0], words[1]);
+        return true;
+    });
     return own;
 }
 
+admission::FloorSettings load_admission(const std::string& file, const Settings& settings) {
+    admission::FloorSettings floors;
+    if (file.empty()) return floors;
+    const auto weight = [&](const std::vector<std::string>& words, auto& weights) {
+        const auto what = words[0] + " " + words[1];
+        const auto value = number_in(file, what, words[2]);
+        if (value <= 0) throw SettingsError(file + ": " + what + " must be a number above 0");
+        if (!weights.emplace(words[1], value).second)
+            throw SettingsError(file + ": " + what + " is given twice");
+    };
+    each_entry(file, "(NAME VALUE), (class NAME WEIGHT) or (team NAME WEIGHT)",
+               [&](const std::vector<std::string>& words) {
+                   if (words.size() == 2 && words[0] == "floors") {
+                       floors.whole = number_in(file, words[0], words[1]);
+                       if (floors.whole > 1)
+                           throw SettingsError(file + ": floors must be at most 1");
+                   } else if (words.size() == 2 && words[0] == "patience-s") {
+                       floors.patience = core::Seconds(number_in(file, words[0], words[1]));
+                   } else if (words.size() == 3 && words[0] == "class") {
+                       weight(words, floors.class_weights);
+                   } else if (words.size() == 3 && words[0] == "team") {
+                       const auto& teams = settings.teams;
+                       if (std::none_of(teams.begin(), teams.end(),
+                                        [&](const auto& team) { return team.name == words[1]; }))
+                           throw SettingsError(file + ": there is no team " + words[1]);
+                       weight(words, floors.team_weights);
+                   } else {
+                       return false;
+                   }
+                   return true;
+               });
+    return floors;
+}
+
 std::size_t most_connections(const Settings& settings, const OperatorSettings& own) {
     // A third of the sockets is left for calls out, and for connections on their way in or out.
     const auto by_sockets = settings.most_sockets * 2 / 3;
@@ -242,6 +297,7 @@
     config.least_paid = own.least_paid;
     config.headroom = own.headroom;
     config.demand_memory = own.demand_memory;
+    config.floors = own.floors;
     return config;
 }
 
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -60,10 +60,13 @@
     std::size_t threads = 160;
     std::size_t stack_kb = 256;
     std::size_t finals_cached = 4096;
+    admission::FloorSettings floors;  // of a file of its own: deploy/admission.sexp
 };
 
 Settings load_settings(const std::string& file);
 OperatorSettings load_operator_settings(const std::string& file);
+// Floors and weights; without a file the defaults. Teams are those of the platform's settings.
+admission::FloorSettings load_admission(const std::string& file, const Settings& settings);
 // Connections served at once, a thread each: what operators allow, the sockets and the memory of the
 // platform's settings permit.
 std::size_t most_connections(const Settings& settings, const OperatorSettings& own);
--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -25,10 +25,6 @@
     return {verb, task.job, task.index, task.attempt, {}};
 }
 
-Seconds grace_to_save(const JobSpec& spec) {
-    return spec.checkpoint > Seconds{0} ? spec.save_time + Seconds{1} : Seconds{0};
-}
-
 }  // namespace
 
 std::vector<DirectCall> Dispatch::direct_calls(TimePoint now) {
@@ -361,10 +357,7 @@
             if (!saves || estimates_.remaining(job, placement, now) < left) continue;
             if (left > job.spec.save_time + config_.workers.report + Seconds{1}) continue;
         }
-        if (job.spec.kind == Kind::gang)
-            Pipelines::stop_all(job, grace_to_save(job.spec));
-        else
-            Pipelines::stop(placement, grace_to_save(job.spec));
+        Pipelines::stop_to_save(job, placement);
     }
     for (const auto& [job, index] : unbind) {
         // A gang broken for an earlier entry has been unbound as a whole.
--- a/src/core/pipelines.cpp
+++ b/src/core/pipelines.cpp
@@ -165,6 +165,15 @@
         if (placement.stage != Placement::Stage::bound) stop(placement, grace);
 }
 
+Seconds Pipelines::stop_to_save(Job& job, Placement& placement) {
+    const auto grace = job.spec.saves() ? job.spec.save_time + Seconds{1} : Seconds{0};
+    if (job.spec.kind == Kind::gang)
+        stop_all(job, grace);
+    else
+        stop(placement, grace);
+    return grace;
+}
+
 void Pipelines::break_gang(Job& job, std::uint64_t attempt) {
     if (job.spec.kind != Kind::gang) return;
     std::vector<std::uint32_t> bound;
--- a/src/core/pipelines.hpp
+++ b/src/core/pipelines.hpp
@@ -54,6 +54,9 @@
     static void stop(Placement& placement, Seconds grace);
     // All of a job's tasks that are on machines or on their way there.
     static void stop_all(Job& job, Seconds grace);
+    // Stops a task with time to save; a gang whole and in one go, so that its progress is saved.
+    // Returns how long it may take.
+    static Seconds stop_to_save(Job& job, Placement& placement);
     // A task of a gang's attempt is gone: the others are of no use.
     void break_gang(Job& job, std::uint64_t attempt);
     // What a machine held is gone with it. Counts tasks that were ordered or on it.
--- a/src/core/preemption.cpp
+++ b/src/core/preemption.cpp
@@ -13,10 +13,6 @@
 // What a step of priority weighs, in seconds of lost work.
 constexpr double priority_step_s = 10;
 
-bool saves(const Job& job) {
-    return job.spec.checkpoint > Seconds{0};
-}
-
 bool may_be_stopped(const Placement& placement) {
     return placement.stage != Placement::Stage::bound && !placement.stopping;
 }
@@ -73,7 +69,7 @@
 double RoomSearch::cost_of_stopping(const Job& other, const Placement& placement) const {
     const auto ran =
         placement.state == TaskState::running ? between(placement.running_from, now_) : Seconds{0};
-    double cost = saves(other) ? other.spec.save_time.count() : ran.count();
+    double cost = other.spec.saves() ? other.spec.save_time.count() : ran.count();
     cost += priority_step_s * static_cast<int>(other.spec.priority);
     if (other.spec.kind == Kind::gang) cost *= other.spec.tasks;
     return cost * (1 + other.spec.need.gpus);
@@ -191,24 +187,15 @@
     return plans;
 }
 
-Seconds Preemption::stop(const Victim& victim) {
-    auto& job = *victim.job;
-    const auto grace = saves(job) ? job.spec.save_time + Seconds{1} : Seconds{0};
-    // A gang is stopped as a whole, in one go, so that its progress is saved.
-    if (job.spec.kind == Kind::gang)
-        Pipelines::stop_all(job, grace);
-    else
-        Pipelines::stop(job.placed.at(victim.index), grace);
-    return grace;
-}
-
 void Preemption::carry_out(Job& job, const std::vector<RoomPlan>& plans, Standing& standing,
                            TimePoint now) {
     const bool gang = job.spec.kind == Kind::gang;
     auto attempt = pipelines_.next_attempt();
     for (const auto& plan : plans) {
         Seconds longest{0};
-        for (const auto& victim : plan.victims) longest = std::max(longest, stop(victim));
+        for (const auto& victim : plan.victims)
+            longest = std::max(longest, Pipelines::stop_to_save(
+                                            *victim.job, victim.job->placed.at(victim.index)));
         if (!gang) attempt = pipelines_.next_attempt();
         const auto run = estimates_.expected_run(job);
         Placement placement;
--- a/src/core/preemption.hpp
+++ b/src/core/preemption.hpp
@@ -95,8 +95,6 @@
     std::vector<RoomPlan> plans_for(const Job& job, const Standing& standing,
                                     const std::vector<Machine*>& candidates, TimePoint now) const;
     void carry_out(Job& job, const std::vector<RoomPlan>& plans, Standing& standing, TimePoint now);
-    // Stops a task, or its whole gang. Returns how long it may take to save.
-    Seconds stop(const Victim& victim);
 
     const Config& config_;
     const Catalog& catalog_;
--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -75,6 +75,9 @@
     Seconds checkpoint{0};
     Seconds save_time{0};
     std::optional<Seconds> deadline;
+
+    // Whether its tasks save their progress; what is stopped otherwise has worked in vain.
+    bool saves() const { return checkpoint > Seconds{0}; }
 };
 
 struct MachineType {
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -112,6 +112,44 @@
     EXPECT_EQ(own.finals_cached, defaults.finals_cached);
 }
 
+TEST_F(SettingsFile, Admission) {
+    Settings settings;
+    settings.teams.push_back({"red", {}, {}});
+    const auto complaint_of = [&](const std::string& text) {
+        try {
+            load_admission(write(text), settings);
+        } catch (const SettingsError& e) {
+            return std::string(e.what());
+        }
+        return std::string();
+    };
+    const auto floors = load_admission(
+        write("((floors 0.4) (patience-s 20) (class scan 2) (team red 3)) ; all"), settings);
+    EXPECT_DOUBLE_EQ(floors.whole, 0.4);
+    EXPECT_DOUBLE_EQ(floors.patience.count(), 20);
+    EXPECT_DOUBLE_EQ(floors.class_weights.at("scan"), 2);
+    EXPECT_DOUBLE_EQ(floors.team_weights.at("red"), 3);
+    for (const auto& [text, said] : std::map<std::string, std::string>{
+             {"((floors 1.5))", "floors must be at most 1"},
+             {"((floors much))", "floors must be a number"},
+             {"((team blue 1))", "there is no team blue"},
+             {"((class scan 0))", "class scan must be a number above 0"},
+             {"((class scan 1) (class scan 2))", "class scan is given twice"},
+             {"((patience 5))", "an entry is not"},
+             {"(floors 1)", "an entry is not"},
+             {"floors", "is not an S-expression list"}})
+        EXPECT_NE(complaint_of(text).find(said), std::string::npos) << text;
+}
+
+TEST_F(SettingsFile, TheShippedAdmissionFileHoldsTheDefaults) {
+    const auto floors =
+        load_admission(std::string(SOURCE_DIR) + "/deploy/admission.sexp", Settings{});
+    const admission::FloorSettings defaults;
+    EXPECT_DOUBLE_EQ(floors.whole, defaults.whole);
+    EXPECT_DOUBLE_EQ(floors.patience.count(), defaults.patience.count());
+    EXPECT_TRUE(floors.class_weights.empty() && floors.team_weights.empty());
+}
+
 TEST(MostConnections, WhatIsScarceDecides) {
     Settings settings;
     OperatorSettings own;
