Floors only with a file that asks for them: they cost urgent gangs on few machines

Cause: where there are few machines, a floor is smaller than one gang and is claimed whole, by any class or team whose job has waited a minute, also where that class is served; its work is not stopped any more. On three GPU machines urgent gangs lost theirs to arrays.

--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -243,7 +243,12 @@
 
 admission::FloorSettings load_admission(const std::string& file, const Settings& settings) {
     admission::FloorSettings floors;
-    if (file.empty()) return floors;
+    if (file.empty()) {
+        // Guard: on a site of few machines a floor is less than one gang's size, and claims it whole:
+        // urgent gangs lost their machines to work that was served anyway (docs/admission.md).
+        floors.whole = 0;
+        return floors;
+    }
     const auto weight = [&](const std::vector<std::string>& words, auto& weights) {
         const auto what = words[0] + " " + words[1];
         const auto value = number_in(file, what, words[2]);
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -150,6 +150,10 @@
     EXPECT_TRUE(floors.class_weights.empty() && floors.team_weights.empty());
 }
 
+TEST_F(SettingsFile, WithoutAnAdmissionFileThereAreNoFloors) {
+    EXPECT_DOUBLE_EQ(load_admission("", Settings{}).whole, 0);
+}
+
 TEST(MostConnections, WhatIsScarceDecides) {
     Settings settings;
     OperatorSettings own;
