A process that returns takes the role of its former life at once

Change: the first look of a life may put its own key over the one of its former life, by compare-and-set under a higher epoch (src/app/succession). The key is never gone, so no sibling takes the role without knowing. Two by one name cannot harm: the elder's writes fail by stamp, its orders by token; it looks at the key at each renewal and its lease is ended; and for the length of a lease no job is recorded as over, so nothing that it may still tell is older than what was told. An unanswered taking of the role is undone by ending the own lease, not by waiting for its end. Ruled out: ending the former lease first (a sibling would take the role without knowing of the doubt); a shorter lease (leases end by slowness then); trusting that a name lives once. Tests: lives that follow each other, overlap, begin together, keep ending (tests/membership_test).

--- a/src/app/membership.cpp
+++ b/src/app/membership.cpp
@@ -24,6 +24,8 @@
 constexpr double drift_allowance = 0.998;
 constexpr milliseconds judgement_margin{150};
 constexpr double renewals_a_lease = 4;
+// Beyond the rest of its own lease, which nobody may take before it ends.
+constexpr milliseconds give_way{2000};
 
 }  // namespace
 
@@ -102,6 +104,17 @@
             return;
         }
         if (outcome != Outcome::ok) return;
+        // Guard against a former life that goes on: its lease may live while another life of its name
+        // has put its own key over the one that the lease was for. Without this it would tell users
+        // what it knew for as long as it renews.
+        if (const auto now = standing(); now.acting) {
+            const auto holds = holds_key(now.steward_stamp);
+            if (!holds) return;
+            if (!*holds) {
+                step_down();
+                return;
+            }
+        }
     }
     const std::lock_guard lock(mutex_);
     if (resigned_) return;
@@ -112,45 +125,35 @@
     next_renewal_ = sent + duration_cast<milliseconds>(lease_time_ / renewals_a_lease);
 }
 
+std::optional<bool> Membership::holds_key(std::uint64_t stamp) {
+    const auto key = store_.get(steward_key);
+    if (key.outcome == Outcome::absent) return false;
+    if (key.outcome != Outcome::ok) return std::nullopt;
+    return key.entry.stamp == stamp;
+}
+
 void Membership::look() {
     const auto before = standing();
     if (before.acting || !lease_valid()) return;
     const auto steward = store_.get(steward_key);
-    if (steward.outcome == Outcome::absent) {
-        take_over();
-        return;
-    }
-    if (steward.outcome != Outcome::ok) return;
-    {
+    std::optional<StewardKey> key;
+    if (steward.outcome == Outcome::ok) {
+        const auto& entry = steward.entry;
+        key = StewardKey{entry.value.value("name", std::string()), entry.lease, entry.stamp};
         const std::lock_guard lock(mutex_);
-        if (steward.entry.stamp == steward_seen_) return;
-    }
-    const auto view = store_.get(view_key);
-    if (view.outcome != Outcome::ok) return;
-    const auto parsed = wire::parse_view(view.entry.value);
-    if (!parsed) return;
-    const std::lock_guard lock(mutex_);
-    steward_seen_ = steward.entry.stamp;
-    if (parsed->epoch >= standing_.epoch) {
-        standing_.epoch = parsed->epoch;
-        standing_.steward = parsed->steward == name_ ? std::string{} : parsed->steward;
+        if (entry.stamp == steward_seen_) return;
+    } else if (steward.outcome != Outcome::absent) {
+        return;
     }
-}
-
-void Membership::take_over() {
     const auto view = store_.get(view_key);
-    std::uint64_t epoch = 0;
-    std::uint64_t stamp = 0;
+    if (view.outcome != Outcome::ok && view.outcome != Outcome::absent) return;
+    std::optional<wire::ViewRecord> parsed;
     if (view.outcome == Outcome::ok) {
-        const auto parsed = wire::parse_view(view.entry.value);
+        parsed = wire::parse_view(view.entry.value);
         if (!parsed) {
             spdlog::error("the view in the state service cannot be read; not acting");
             return;
         }
-        epoch = parsed->epoch;
-        stamp = view.entry.stamp;
-    } else if (view.outcome != Outcome::absent) {
-        return;
     }
     std::optional<std::uint64_t> lease;
     {
@@ -158,17 +161,51 @@
         lease = lease_;
     }
     if (!lease) return;
-    const auto next = epoch + 1;
+    const Candidate self{name_, *lease, just_returned_, gave_way_};
+    switch (succession(key, parsed, self)) {
+        case Succession::follow:
+            break;
+        case Succession::take:
+        case Succession::come_back:
+            if (Clock::now() >= giving_way_until_)
+                take_over(key, parsed, parsed ? view.entry.stamp : 0, *lease);
+            return;
+        case Succession::give_way:
+            spdlog::error("ended {} times soon after taking the role; others go first",
+                          parsed->returns);
+            gave_way_ = true;
+            giving_way_until_ = Clock::now() + duration_cast<milliseconds>(lease_time_) + give_way;
+            return;
+    }
+    if (!parsed) return;
+    just_returned_ = false;
+    const std::lock_guard lock(mutex_);
+    steward_seen_ = steward.entry.stamp;
+    if (parsed->epoch >= standing_.epoch) {
+        standing_.epoch = parsed->epoch;
+        standing_.steward = parsed->steward == name_ ? std::string{} : parsed->steward;
+    }
+}
+
+void Membership::take_over(const std::optional<StewardKey>& former,
+                           const std::optional<wire::ViewRecord>& view, std::uint64_t view_stamp,
+                           std::uint64_t lease) {
+    const Candidate self{name_, lease, just_returned_, gave_way_};
+    const wire::ViewRecord next{view ? view->epoch + 1 : 1, name_, returns_of_next(view, self)};
+    // Under the new lease in the same step: the key is never gone, so nobody else takes the role
+    // without knowing of the former life that may not be over.
     const auto txn = store_.transact(
-        {{steward_key, 0}, {view_key, stamp}},
-        {{steward_key, wire::Value{{"name", name_}, {"incarnation", incarnation_}}, *lease},
-         {view_key, wire::view_record({next, name_}), std::nullopt}});
-    // An unanswered transaction may have made this controller the steward without its knowing.
-    // Its lease is given up then, so that the key goes away and somebody takes over in good order.
+        {{steward_key, former ? former->stamp : 0}, {view_key, view_stamp}},
+        {{steward_key, wire::Value{{"name", name_}, {"incarnation", incarnation_}}, lease},
+         {view_key, wire::view_record(next), std::nullopt}});
+    // An unanswered transaction may have made this controller the steward without its knowing, or
+    // may still do so. Once its lease is ended for certain neither can last; else the lease runs out.
     if (txn.outcome == Outcome::unknown) {
         step_down();
+        const auto ended = store_.revoke(lease);
+        const bool certain = ended == Outcome::ok || ended == Outcome::absent;
         const std::lock_guard lock(mutex_);
-        next_renewal_ = Clock::now() + duration_cast<milliseconds>(lease_time_);
+        if (!certain) next_renewal_ = Clock::now() + duration_cast<milliseconds>(lease_time_);
         return;
     }
     if (txn.outcome != Outcome::ok) return;
@@ -176,11 +213,65 @@
         const std::lock_guard lock(mutex_);
         // The lease that holds the key has been given up meanwhile.
         if (resigned_) return;
-        standing_ = {next, name_, true, txn.revision};
+        standing_ = {next.epoch, name_, true, txn.revision};
         steward_seen_ = txn.revision;
+        // Guard: the life before may have ended before it ended the lease of its own former life.
+        const auto doubt = view && view->returns > 0
+                               ? Clock::now() + duration_cast<milliseconds>(lease_time_)
+                               : Clock::time_point{};
+        finals_from_ = former ? Clock::time_point::max() : doubt;
+        progress_ = false;
     }
-    spdlog::info("acting under epoch {}", next);
-    events_.took_over(next, txn.revision);
+    just_returned_ = false;
+    view_ = next;
+    view_stamp_ = txn.revision;
+    if (former) former_lease_ = former->lease;
+    spdlog::info("acting under epoch {}{}", next.epoch, former ? ", returned at once" : "");
+    events_.took_over(next.epoch, txn.revision);
+}
+
+// Once it is ended the former life, should it live, renews it no more.
+void Membership::end_former_lease() {
+    if (!former_lease_) return;
+    const auto ended = store_.revoke(*former_lease_);
+    if (ended != Outcome::ok && ended != Outcome::absent) return;
+    former_lease_.reset();
+    const std::lock_guard lock(mutex_);
+    finals_from_ = Clock::now() + duration_cast<milliseconds>(lease_time_);
+}
+
+// So that the next life's return is not counted with those that got nowhere.
+void Membership::record_progress() {
+    const auto now = standing();
+    {
+        const std::lock_guard lock(mutex_);
+        if (!progress_) return;
+    }
+    if (!now.acting || view_.returns == 0 || view_.epoch != now.epoch) return;
+    auto settled = view_;
+    settled.returns = 0;
+    const auto txn =
+        store_.transact({{steward_key, now.steward_stamp}, {view_key, view_stamp_}},
+                        {{view_key, wire::view_record(settled), std::nullopt}});
+    // A conflict: this very write went through unnoticed, or another controller acts.
+    if (txn.outcome == Outcome::ok || txn.outcome == Outcome::conflict) view_ = settled;
+}
+
+Membership::Clock::time_point Membership::finals_from() const {
+    const std::lock_guard lock(mutex_);
+    return finals_from_;
+}
+
+void Membership::made_progress() {
+    const std::lock_guard lock(mutex_);
+    progress_ = true;
+}
+
+void Membership::round(bool look_who_acts) {
+    renew();
+    end_former_lease();
+    record_progress();
+    if (look_who_acts) look();
 }
 
 void Membership::run() {
@@ -188,11 +279,9 @@
     std::uniform_int_distribution<int> jitter(0, 100);
     auto next_look = Clock::now();
     for (;;) {
-        renew();
-        if (Clock::now() >= next_look) {
-            next_look = Clock::now() + look_every;
-            look();
-        }
+        const bool look_too = Clock::now() >= next_look;
+        if (look_too) next_look = Clock::now() + look_every;
+        round(look_too);
         std::unique_lock lock(mutex_);
         wake_.wait_for(lock, check_every + milliseconds(jitter(random) - 50),
                        [&] { return look_now_; });
--- a/src/app/membership.hpp
+++ b/src/app/membership.hpp
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "app/state_store.hpp"
+#include "app/succession.hpp"
 #include "core/types.hpp"
 
 namespace bendspindle::app {
@@ -33,6 +34,8 @@
     // Each runs until the process ends: one keeps the lease and looks who acts, the other waits
     // for news of the steward so that the first looks at once.
     void run();
+    // One round of `run`, without its pauses.
+    void round(bool look_who_acts);
     void watch();
     // Acts no more and gives the lease up, so that another controller acts at once. For good.
     void resign();
@@ -40,6 +43,12 @@
     Standing standing() const;
     // Whether no other controller can act yet, judged by this one's own clock.
     bool lease_valid() const;
+    // From when on finals may be recorded. After a return over the key of a former life, that life,
+    // if it is not over after all, may believe in its lease for as long as a lease; what it then tells
+    // of an open job must not be older than a final told elsewhere.
+    Clock::time_point finals_from() const;
+    // What this controller does as the one that acts gets somewhere: its next life may return at once.
+    void made_progress();
     // Somebody has proof that another controller acts under a higher epoch.
     void suspect(std::uint64_t epoch);
     // A sibling's word that it acts. A higher epoch ends this controller's own acting.
@@ -47,8 +56,13 @@
 
   private:
     void renew();
+    std::optional<bool> holds_key(std::uint64_t stamp);
     void look();
-    void take_over();
+    void take_over(const std::optional<StewardKey>& former,
+                   const std::optional<wire::ViewRecord>& view, std::uint64_t view_stamp,
+                   std::uint64_t lease);
+    void end_former_lease();
+    void record_progress();
     void step_down();
 
     StateStore& store_;
@@ -65,6 +79,14 @@
     bool resigned_ = false;
     std::uint64_t steward_seen_ = 0;  // stamp of the steward key whose view was read
     std::uint64_t incarnation_ = 0;
+    bool just_returned_ = true;  // until it acts or sees another act
+    bool gave_way_ = false;
+    Clock::time_point giving_way_until_{};
+    std::optional<std::uint64_t> former_lease_;  // of a former life, to be ended
+    Clock::time_point finals_from_{};
+    wire::ViewRecord view_;  // as written, while acting
+    std::uint64_t view_stamp_ = 0;
+    bool progress_ = false;
 };
 
 }  // namespace bendspindle::app
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -73,6 +73,7 @@
         const std::lock_guard lock(office_.mutex);
         const auto now = membership_.standing();
         if (!now.acting || now.epoch != epoch) return;
+        controller->hold_finals_until(membership_.finals_from());
         log.loaded(*controller, Clock::now());
         office_.takeover_log = log;
         office_.learned_revision = *revision;
@@ -278,9 +279,10 @@
         return from_records(id, true);
     }
     // Without the lease another controller may have told a newer state already.
-    if (membership_.lease_valid()) {
+    {
         const std::lock_guard lock(office_.mutex);
-        if (office_.controller) {
+        // Looked at after the wait for the lock, not before: nothing blocks from here to the answer.
+        if (office_.controller && membership_.lease_valid()) {
             if (const auto status = office_.controller->status(id))
                 return {200, 0, wire::status_body(id, *status, true)};
             if (office_.controller->knows(id)) return busy("the job is being recorded");
@@ -451,11 +453,14 @@
         office_.place_pending = false;
         std::vector<core::DirectCall> calls;
         if (office_.controller) {
+            office_.controller->hold_finals_until(membership_.finals_from());
             office_.controller->cycle(Clock::now());
             calls = office_.controller->direct_calls(Clock::now());
             tell_starts(*office_.controller);
             if (office_.takeover_log)
                 office_.takeover_log->look(*office_.controller, Clock::now());
+            if (office_.takeover_log && office_.takeover_log->progressed(Clock::now()))
+                membership_.made_progress();
         }
         lock.unlock();
         for (auto& call : calls) courier_.send(std::move(call));
--- a/src/app/takeover_log.cpp
+++ b/src/app/takeover_log.cpp
@@ -4,9 +4,16 @@
 
 namespace bendspindle::app {
 
+namespace {
+
+// A process that ends sooner is taken to end of what it does in this role.
+constexpr std::chrono::seconds long_enough{8};
+
+}  // namespace
+
 void TakeoverLog::loaded(const core::Controller& controller, Clock::time_point now) {
     recorded_ = controller.unconfirmed();
-    half_told_ = all_told_ = recorded_ == 0;
+    half_told_ = all_told_ = some_answered_ = recorded_ == 0;
     spdlog::info("took over {} open jobs and {} machines after {:.2f} s", controller.jobs().size(),
                  recorded_, since(now));
 }
@@ -14,6 +21,7 @@
 void TakeoverLog::look(const core::Controller& controller, Clock::time_point now) {
     if (!all_told_) {
         const auto left = controller.unconfirmed();
+        some_answered_ |= left < recorded_;
         if (!half_told_ && left * 2 <= recorded_) {
             half_told_ = true;
             spdlog::info("half of {} machines confirmed after {:.2f} s", recorded_, since(now));
@@ -30,4 +38,8 @@
     }
 }
 
+bool TakeoverLog::progressed(Clock::time_point now) const {
+    return some_answered_ && now - acting_since_ >= long_enough;
+}
+
 }  // namespace bendspindle::app
--- a/src/app/takeover_log.hpp
+++ b/src/app/takeover_log.hpp
@@ -16,6 +16,9 @@
     void loaded(const core::Controller& controller, Clock::time_point now);
     // Looks at what has happened since; cheap once everything was told.
     void look(const core::Controller& controller, Clock::time_point now);
+    // Whether the controller has got somewhere: a recorded machine answered it, or there was none,
+    // and it has acted for a while since.
+    bool progressed(Clock::time_point now) const;
 
   private:
     double since(Clock::time_point now) const {
@@ -24,6 +27,7 @@
 
     Clock::time_point acting_since_;
     std::size_t recorded_ = 0;
+    bool some_answered_ = false;
     bool half_told_ = false;
     bool all_told_ = false;
     bool start_told_ = false;
--- a/src/core/changes.cpp
+++ b/src/core/changes.cpp
@@ -32,9 +32,9 @@
     std::vector<Change> changes_;
 };
 
-bool PendingChanges::belongs(const Job& job, Pass pass, TimePoint now) {
+bool PendingChanges::belongs(const Job& job, Pass pass, TimePoint now) const {
     if (job.changed == job.written) return false;
-    if (job.over()) return pass == Pass::finals;
+    if (job.over()) return pass == Pass::finals && now >= finals_from_;
     if (!job.durable) return pass == Pass::new_jobs;
     return pass == Pass::done_sets && between(job.changed_at, now) >= done_set_pause;
 }
--- a/src/core/changes.hpp
+++ b/src/core/changes.hpp
@@ -33,19 +33,22 @@
     // wait a moment for company.
     std::vector<Change> due(std::size_t most_operations, TimePoint now) const;
     void written(const std::vector<Change>& changes, std::uint64_t stamp, TimePoint now);
+    // Until then no job is recorded as over, and so nobody tells a user that one is.
+    void hold_finals_until(TimePoint until) { finals_from_ = until; }
     // The record's stamp is another than thought: an earlier write went through unnoticed.
     void restamp(Change::What what, const std::string& id, std::uint64_t stamp);
 
   private:
     class Gathering;
     enum class Pass : std::uint8_t { finals, new_jobs, done_sets };
-    static bool belongs(const Job& job, Pass pass, TimePoint now);
+    bool belongs(const Job& job, Pass pass, TimePoint now) const;
     void gather_jobs(Gathering& gathering, Pass pass, TimePoint now) const;
     void gather_machines(Gathering& gathering) const;
 
     const Config& config_;
     Fleet& fleet_;
     Pipelines& pipelines_;
+    TimePoint finals_from_{};
 };
 
 }  // namespace bendspindle::core
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -77,6 +77,8 @@
     std::vector<Change> changes(std::size_t most_operations, TimePoint now) const;
     void written(const std::vector<Change>& changes, std::uint64_t stamp, TimePoint now);
     void restamp(Change::What what, const std::string& id, std::uint64_t stamp);
+    // While a former controller may still tell users what it knew (app/membership).
+    void hold_finals_until(TimePoint until) { changes_.hold_finals_until(until); }
 
     // For tests and logs.
     std::size_t unconfirmed() const { return fleet_.unconfirmed(); }
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -496,7 +496,8 @@
 std::optional<Entry> parse_entry(std::string_view body) {
     return guarded([&] {
         auto m = map_of(body);
-        return Entry{text(m, "path"), need(m, "v"), count(m, "stamp")};
+        return Entry{text(m, "path"), need(m, "v"), count(m, "stamp"),
+                     absent(m, "loan") ? 0 : count(m, "loan")};
     });
 }
 
@@ -622,13 +623,16 @@
 }
 
 Value view_record(const ViewRecord& view) {
-    return Value{{"epoch", view.epoch}, {"steward", view.steward}};
+    return Value{{"epoch", view.epoch}, {"steward", view.steward}, {"returns", view.returns}};
 }
 
 std::optional<ViewRecord> parse_view(const Value& v) {
     return guarded([&] {
         if (!v.is_object()) throw Malformed{"not a map"};
-        return ViewRecord{count(v, "epoch"), text(v, "steward")};
+        // Views of older programs do not count returns.
+        const auto returns = absent(v, "returns") ? 0 : count(v, "returns");
+        return ViewRecord{count(v, "epoch"), text(v, "steward"),
+                          static_cast<std::uint32_t>(std::min<std::uint64_t>(returns, 1000))};
     });
 }
 
--- a/src/wire/codec.hpp
+++ b/src/wire/codec.hpp
@@ -77,6 +77,7 @@
     std::string key;
     Value value;
     std::uint64_t stamp = 0;
+    std::uint64_t lease = 0;  // what the key is attached to, if it was read by itself; 0: nothing
 };
 struct Entries {
     std::vector<Entry> entries;
@@ -118,6 +119,8 @@
 struct ViewRecord {
     std::uint64_t epoch = 0;
     std::string steward;
+    // Lives of this steward that took the role one after the other without getting anywhere.
+    std::uint32_t returns = 0;
 };
 Value view_record(const ViewRecord& view);
 std::optional<ViewRecord> parse_view(const Value& value);
--- /dev/null
+++ b/tests/membership_test.cpp
@@ -0,0 +1,162 @@
+// Who acts, against a stand-in of the state service: lives of one name that follow each other at
+// once, that overlap, that keep ending. Each life is one object; one that is no more run has ended
+// or is frozen.
+#include "app/membership.hpp"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include "standin/services.hpp"
+
+namespace bendspindle::app {
+namespace {
+
+using namespace std::chrono_literals;
+using Clock = std::chrono::steady_clock;
+
+class Lives : public testing::Test {
+  protected:
+    Lives()
+        : port_(33000 + static_cast<int>(::getpid() % 2000)),
+          service_(port_),
+          store_({"127.0.0.1", port_}) {}
+
+    std::unique_ptr<Membership> life(const std::string& name, core::Seconds lease = 60s) {
+        return std::make_unique<Membership>(
+            store_, name, lease,
+            Membership::Events{[](std::uint64_t, std::uint64_t) {}, [this] { ++deposed_; }});
+    }
+    // A life that begins and has its first look.
+    std::unique_ptr<Membership> begun(const std::string& name, core::Seconds lease = 60s) {
+        auto out = life(name, lease);
+        out->round(true);
+        return out;
+    }
+    std::uint32_t returns() {
+        return wire::parse_view(store_.get("view").entry.value)->returns;
+    }
+
+    int port_;
+    standin::StateService service_;
+    StateStore store_;
+    int deposed_ = 0;
+};
+
+TEST_F(Lives, ANewLifeTakesTheRoleOfItsFormerOneAtOnce) {
+    const auto first = begun("a");
+    ASSERT_TRUE(first->standing().acting);
+    EXPECT_LE(first->finals_from(), Clock::now());
+    const auto sibling = begun("b");
+    EXPECT_FALSE(sibling->standing().acting);
+    // The first one's lease still has a minute.
+    const auto second = begun("a");
+    EXPECT_TRUE(second->standing().acting);
+    EXPECT_EQ(second->standing().epoch, 2U);
+    // Nothing is told as over before a former life that goes on must have stopped answering.
+    EXPECT_EQ(second->finals_from(), Clock::time_point::max());
+    second->round(false);
+    EXPECT_LT(second->finals_from(), Clock::time_point::max());
+    EXPECT_GT(second->finals_from(), Clock::now() + 50s);
+    EXPECT_TRUE(second->standing().acting);
+}
+
+TEST_F(Lives, AFormerLifeThatWakesActsNoMoreAndTakesNothingBack) {
+    const auto elder = begun("a", 1s);
+    const auto younger = begun("a", 60s);
+    ASSERT_TRUE(younger->standing().acting);
+    // Its lease has not been ended yet: that its key is another's tells it.
+    std::this_thread::sleep_for(300ms);
+    elder->round(true);
+    EXPECT_FALSE(elder->standing().acting);
+    EXPECT_EQ(deposed_, 1);
+    younger->round(true);
+    for (int i = 0; i < 3; ++i) {
+        elder->round(true);
+        younger->round(true);
+    }
+    EXPECT_FALSE(elder->standing().acting);
+    EXPECT_TRUE(younger->standing().acting);
+    EXPECT_EQ(younger->standing().epoch, 2U);
+}
+
+TEST_F(Lives, TwoThatBeginTogetherSettleOnOne) {
+    const auto one = life("a", 1s);
+    const auto other = life("a", 1s);
+    for (int i = 0; i < 4; ++i) {
+        one->round(true);
+        other->round(true);
+        std::this_thread::sleep_for(300ms);
+    }
+    EXPECT_NE(one->standing().acting, other->standing().acting);
+    EXPECT_LE(std::max(one->standing().epoch, other->standing().epoch), 2U);
+}
+
+TEST_F(Lives, ALateTransactionOfAFormerLifeChangesNothing) {
+    const auto first = begun("a");
+    const auto key = store_.get("steward").entry;
+    const auto view = store_.get("view").entry;
+    const auto second = begun("a");
+    const auto late = store_.transact({{"steward", key.stamp}, {"view", view.stamp}},
+                                      {{"view", view.value, std::nullopt}});
+    EXPECT_EQ(late.outcome, Outcome::conflict);
+    const auto first_of_all = store_.transact({{"steward", 0}, {"view", 0}},
+                                              {{"steward", key.value, std::nullopt}});
+    EXPECT_EQ(first_of_all.outcome, Outcome::conflict);
+    second->round(true);
+    EXPECT_TRUE(second->standing().acting);
+}
+
+TEST_F(Lives, OneThatKeepsEndingLeavesTheRoleToASibling) {
+    std::vector<std::unique_ptr<Membership>> lives;
+    for (std::uint32_t i = 0; i <= most_returns; ++i) {
+        lives.push_back(begun("a", 1s));
+        EXPECT_TRUE(lives.back()->standing().acting);
+        EXPECT_EQ(returns(), i);
+    }
+    const auto next = begun("a", 1s);
+    EXPECT_FALSE(next->standing().acting);
+    const auto sibling = life("b", 1s);
+    const auto until = Clock::now() + 30s;
+    while (!sibling->standing().acting && Clock::now() < until) {
+        sibling->round(true);
+        next->round(true);
+        std::this_thread::sleep_for(20ms);
+    }
+    EXPECT_TRUE(sibling->standing().acting);
+    EXPECT_FALSE(next->standing().acting);
+    EXPECT_EQ(returns(), 0U);
+    // The life before had no time to end the lease of the one before it.
+    EXPECT_GT(sibling->finals_from(), Clock::now());
+}
+
+TEST_F(Lives, OneThatKeepsEndingActsAgainIfNobodyElseDoes) {
+    std::vector<std::unique_ptr<Membership>> lives;
+    for (std::uint32_t i = 0; i <= most_returns; ++i) lives.push_back(begun("a", 1s));
+    const auto next = begun("a", 1s);
+    EXPECT_FALSE(next->standing().acting);
+    const auto until = Clock::now() + 30s;
+    while (!next->standing().acting && Clock::now() < until) {
+        next->round(true);
+        std::this_thread::sleep_for(20ms);
+    }
+    EXPECT_TRUE(next->standing().acting);
+}
+
+TEST_F(Lives, ProgressClearsWhatLivesBeforeHaveEnded) {
+    const auto first = begun("a");
+    const auto second = begun("a");
+    const auto third = begun("a");
+    EXPECT_EQ(returns(), 2U);
+    third->round(false);
+    EXPECT_EQ(returns(), 2U);
+    third->made_progress();
+    third->round(false);
+    EXPECT_EQ(returns(), 0U);
+    EXPECT_TRUE(third->standing().acting);
+    const auto fourth = begun("a");
+    EXPECT_EQ(returns(), 1U);
+    EXPECT_EQ(fourth->standing().epoch, 4U);
+}
+
+}  // namespace
+}  // namespace bendspindle::app
--- a/tests/standin/services.cpp
+++ b/tests/standin/services.cpp
@@ -32,8 +32,9 @@
         expire();
         const auto it = items_.find(request.matches[1]);
         if (it == items_.end()) return answer(response, 404, {{"ledger_tick", revision_}});
-        answer(response, 200,
-               {{"path", it->first}, {"v", it->second.value}, {"stamp", it->second.stamp}});
+        Value out{{"path", it->first}, {"v", it->second.value}, {"stamp", it->second.stamp}};
+        if (it->second.lease != 0) out["loan"] = it->second.lease;
+        answer(response, 200, out);
     });
     server_.Get("/kv", [this](const auto& request, auto& response) {
         const std::lock_guard lock(mutex_);
