A machine that has left the cloud's list is asked back without waiting for its lease

Change: a machine that is missing from a whole list asked for later than twice the list's lag after its last sign of life is released; the answered release stays the only proof. Records are read 400 at a time: a takeover took 25 calls one after the other. Ruled out: taking absence itself for proof; releasing silent machines sooner (hung ones go on).

--- a/src/app/cloud_desk.cpp
+++ b/src/app/cloud_desk.cpp
@@ -55,6 +55,7 @@
 void CloudDesk::read_list() {
     std::vector<core::ListedMachine> machines;
     std::string after;
+    const auto asked = Clock::now();
     for (;;) {
         pace();
         const auto answer = client_.get(wire::path::list(after, list_page));
@@ -66,7 +67,7 @@
         after = machines.back().name;
     }
     const std::lock_guard lock(office_.mutex);
-    if (office_.controller) office_.controller->listed(machines, Clock::now());
+    if (office_.controller) office_.controller->listed(machines, asked, Clock::now());
 }
 
 void CloudDesk::rent(const core::RentRequest& request, std::uint64_t epoch) {
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -298,6 +298,7 @@
     config.workers = settings.workers;
     config.objectives = settings.objectives;
     config.cycle = own.cycle;
+    config.list_lag = settings.list_lag;
     config.idle_return = own.idle_return;
     config.least_paid = own.least_paid;
     config.headroom = own.headroom;
--- a/src/app/state_store.cpp
+++ b/src/app/state_store.cpp
@@ -5,7 +5,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds call_limit{1500};
-constexpr unsigned page = 100;
+// Records are a few hundred bytes, an answer holds up to 512 KiB. A takeover of 2,000 machines took
+// 25 calls one after the other with pages of 100.
+constexpr unsigned page = 400;
 
 }  // namespace
 
--- a/src/core/config.hpp
+++ b/src/core/config.hpp
@@ -21,6 +21,8 @@
     Seconds idle_return{15};
     // A machine that is deleted is paid for this long in any case.
     Seconds least_paid{60};
+    // How late the cloud's list usually is; sometimes twice that.
+    Seconds list_lag{5};
     // Standard deviations of learned demand that are kept ready beyond its mean.
     double headroom = 1.0;
     // Demand is averaged over about this long.
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -89,8 +89,9 @@
     pipelines_.forget_all_over();
 }
 
-void Controller::listed(const std::vector<ListedMachine>& machines, TimePoint now) {
-    fleet_.listed(machines, now);
+void Controller::listed(const std::vector<ListedMachine>& machines, TimePoint asked,
+                        TimePoint now) {
+    fleet_.listed(machines, asked, now);
 }
 
 std::vector<Change> Controller::changes(std::size_t most_operations, TimePoint now) const {
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -71,7 +71,8 @@
     void rented(const RentRequest& request, const std::vector<std::string>& names, TimePoint now);
     // The cloud has answered: these machines are gone.
     void released(const std::vector<std::string>& names);
-    void listed(const std::vector<ListedMachine>& machines, TimePoint now);
+    // The cloud's whole list, asked for at `asked`.
+    void listed(const std::vector<ListedMachine>& machines, TimePoint asked, TimePoint now);
 
     // Writing. Urgent changes first; done-sets wait for company.
     std::vector<Change> changes(std::size_t most_operations, TimePoint now) const;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -8,6 +8,7 @@
 
 constexpr std::size_t gone_remembered = 4096;
 constexpr Seconds silence_beyond_lease{2};
+constexpr Seconds beyond_list_lag{2};
 // Part of the time in which a cancelled job's tasks must be gone; then the machine is released.
 constexpr double cancel_share = 0.6;
 
@@ -73,7 +74,11 @@
     }
 }
 
-void Fleet::listed(const std::vector<ListedMachine>& machines, TimePoint now) {
+void Fleet::listed(const std::vector<ListedMachine>& machines, TimePoint asked, TimePoint now) {
+    std::set<std::string_view> names;
+    for (const auto& entry : machines) names.insert(entry.name);
+    for (auto& [name, machine] : machines_)
+        if (!names.contains(name) && asked > seen_in_list_by(machine)) machine.releasing = true;
     for (const auto& entry : machines) {
         if (gone_.contains(entry.name)) continue;
         if (entry.stage == MachineStage::failed) {
@@ -96,6 +101,17 @@
     }
 }
 
+// From when on it is in every list, if it is not gone. A machine that the cloud has taken, or that a
+// former controller has returned, leaves the list long before the lease of its worker is over.
+// Absence proves nothing, so its release is asked for; that it is answered does. Were the list wrong,
+// a machine that nobody has heard of for as long would be lost, and no rule with it.
+TimePoint Fleet::seen_in_list_by(const Machine& machine) const {
+    const auto late = config_.list_lag * 2 + beyond_list_lag;
+    // One that reports is not given up for a report or two that went astray.
+    const auto silent = config_.workers.report * 2.5 + Seconds{1};
+    return later(machine.last_report, machine.reported ? std::max(late, silent) : late);
+}
+
 void Fleet::observe(Machine& machine, const Report& report, TimePoint now) {
     if (report.session != machine.session) machine.unanswered.clear();
     machine.session = report.session;
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -97,7 +97,8 @@
     void load(const ListedMachine& record, std::uint64_t stamp, TimePoint now);
     Machine& meet(const Report& report, TimePoint now);
     void rented(const RentRequest& request, const std::vector<std::string>& names, TimePoint now);
-    void listed(const std::vector<ListedMachine>& machines, TimePoint now);
+    // The whole list, asked for at `asked`.
+    void listed(const std::vector<ListedMachine>& machines, TimePoint asked, TimePoint now);
 
     // What a message of the machine's own says of it.
     void observe(Machine& machine, const Report& report, TimePoint now);
@@ -133,6 +134,7 @@
     void restamp_dropping(const std::string& name, std::uint64_t stamp);
 
   private:
+    TimePoint seen_in_list_by(const Machine& machine) const;
     void set_type(Machine& machine);
     void describe(Machine& machine, const std::string& name, const std::string& type,
                   const std::string& zone, bool spot);
--- a/tests/standin/world.cpp
+++ b/tests/standin/world.cpp
@@ -525,6 +525,16 @@
         state_up_ = words.at(1) == "up";
     } else if (verb == "cloud") {
         cloud_up_ = words.at(1) == "up";
+    } else if (verb == "list-lag") {
+        config_.list_lag = Seconds(std::stod(words.at(1)));
+    } else if (verb == "list") {
+        // As the cloud tells it now; of machines that live, `without` one.
+        std::vector<core::ListedMachine> list;
+        for (const auto& [name, worker] : workers_)
+            if (!worker.dead && name != option(words, "without", ""))
+                list.push_back({name, name, worker.type, worker.zone, worker.spot,
+                                core::MachineStage::running, Seconds{0}});
+        controller_->listed(list, at(), at());
     } else if (verb == "rent") {
         auto_rent_ = words.at(1) == "yes";
         capacity_ = static_cast<int>(number(words, "capacity", 1000));
