--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -433,9 +433,9 @@
 // Where the time until each start went, for those who want to know: at debug level.
 void Service::tell_starts(core::Controller& controller) {
     for (const auto& s : controller.take_started())
-        spdlog::debug("started {} of {}, {} tasks, after {:.2f} s: record {:.2f}, room {:.2f}, {} "
+        spdlog::debug("started {} of {} for {}, {} tasks, after {:.2f} s: record {:.2f}, room {:.2f}, {} "
                       "{:.2f}, report {:.2f}, image {:.2f}",
-                      s.job, s.job_class, s.tasks, s.total().count(), s.record.count(),
+                      s.job, s.job_class, s.team, s.tasks, s.total().count(), s.record.count(),
                       s.room.count(), s.stopped_others ? "stopping others" : "not stopping",
                       s.saves.count(), s.report.count(), s.image.count());
 }
--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -282,6 +282,7 @@
     StartStory story;
     story.job = job.spec.id;
     story.job_class = job.spec.job_class;
+    story.team = job.spec.team;
     story.tasks = job.spec.tasks;
     story.stopped_others = latest->held_until != TimePoint{};
     story.record = between(job.accepted_at, job.durable_at);
--- a/src/core/dispatch.hpp
+++ b/src/core/dispatch.hpp
@@ -42,6 +42,7 @@
 struct StartStory {
     std::string job;
     std::string job_class;
+    std::string team;
     std::uint32_t tasks = 0;
     bool stopped_others = false;
     Seconds record{0};  // until the job was durable
--- a/tests/regress_test.py
+++ b/tests/regress_test.py
@@ -13,6 +13,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 TOOL = ROOT / "tools" / "regress"
+sys.path.insert(0, str(TOOL.parent))
 
 SETTINGS = """
 bench = "bin/bench"
@@ -48,8 +49,9 @@
         self.environment = {**os.environ, "BENDSPINDLE_KIT": str(self.at)}
         self.environment.pop("BENDSPINDLE_BENCH", None)
 
-    def bench_writes(self, *entries):
-        """A bench that notes its calls and writes the given entries, one file each."""
+    def bench_writes(self, *entries, report=None):
+        """A bench that notes its calls and writes the given entries, one file each, and the report.
+        It keeps the text of a site that is made for the run."""
         script = self.at / "bin" / "bench"
         script.parent.mkdir(exist_ok=True)
         script.write_text(
@@ -59,6 +61,10 @@
             "calls = at / 'calls'\n"
             "with calls.open('a') as out: out.write(' '.join(sys.argv[1:]) + '\\n')\n"
             "n = len(calls.read_text().splitlines())\n"
+            f"report = json.loads({json.dumps(json.dumps(report))})\n"
+            "if '--report' in sys.argv and report:\n"
+            "    pathlib.Path(sys.argv[sys.argv.index('--report') + 1]).write_text(json.dumps(report))\n"
+            "if sys.argv[1] == 'run': (at / 'site').write_text(pathlib.Path(sys.argv[2]).read_text())\n"
             f"for i, entry in enumerate(json.loads({json.dumps(json.dumps(entries))})):\n"
             "    (at / 'journal' / f'{n}-{i}.json').write_text(json.dumps(entry))\n")
         script.chmod(script.stat().st_mode | stat.S_IXUSR)
@@ -148,6 +154,59 @@
         self.assertEqual(code, 1)
         self.assertIn("(hunt) steady: rule broken: quota", text)
 
+    LARGER = """
+[[larger]]
+site = "f/large.toml"
+days = ["one", "two"]
+"""
+
+    def with_larger_days(self):
+        self.file.write_text(SETTINGS + self.LARGER)
+        (self.at / "f").mkdir()
+        (self.at / "f" / "large.toml").write_text(
+            'name = "large"\n[nodes]\nrestart_delay_s = 8.0\n[[machines]]\ncount = 5\n'
+            '[[capacity]]\ncount = 10\nspot = 3\n[[teams]]\nname = "t"\ncount = 16\ngpus = 4.0\n'
+            '[[jobs]]\ncpus = 2.0\ntasks = { median = 4 }\ninitial = 3\n'
+            'arrivals = { rate = 0.5 }\n')
+
+    @staticmethod
+    def report(done=9, started=9, in_time=0.9):
+        return {"targets": [{"kind": "wait", "class": "slot", "within_s": 70.0, "value": in_time}],
+                "classes": {"slot": {"accepted": 10, "started": 9, "done": done,
+                                     "wait_s": {"p50": 1.0, "p90": 2.0}}},
+                "teams": {"desk": {"jobs": 10, "started": started}}}
+
+    def test_larger_days_are_played_on_a_larger_site_made_for_them(self):
+        self.with_larger_days()
+        self.bench_writes(entry(cmd="run", score=0.9), report=self.report())
+        code, text = self.regress("larger")
+        self.assertEqual(code, 0, text)
+        self.assertEqual([call.split()[0] for call in self.calls()], ["run", "run"])
+        self.assertIn("tests/days/two.toml", self.calls()[1])
+        self.assertEqual(
+            (self.at / "site").read_text(),
+            'name = "large-larger"\n[nodes]\nrestart_delay_s = 0.2\n[[machines]]\ncount = 8\n'
+            '[[capacity]]\ncount = 15\nspot = 4\n[[teams]]\nname = "t"\ncount = 16\ngpus = 6.0\n'
+            '[[jobs]]\ncpus = 2.0\ntasks = { median = 4 }\ninitial = 4\n'
+            'arrivals = { rate = 0.75 }\n')
+
+    def test_a_class_or_a_team_under_half_served_fails_a_larger_day(self):
+        self.with_larger_days()
+        for against, said in ((self.report(done=4), "only 0.40 of class slot done"),
+                              (self.report(in_time=0.49), "only 0.49 of class slot in time"),
+                              (self.report(started=4), "only 0.40 of team desk started"),
+                              (None, "no report was written")):
+            self.bench_writes(entry(cmd="run", score=0.9), report=against)
+            code, text = self.regress("larger")
+            self.assertEqual(code, 1)
+            self.assertIn(said, text)
+
+    def test_a_site_with_nothing_to_grow_ends_2(self):
+        self.with_larger_days()
+        (self.at / "f" / "large.toml").write_text("")
+        self.bench_writes(entry(cmd="run"))
+        self.assertEqual(self.regress("larger")[0], 2)
+
     def write(self, *entries):
         for number, one in enumerate(entries):
             (self.journal / f"{number}.json").write_text(json.dumps(one))
