--- a/deploy/admission.sexp
+++ b/deploy/admission.sexp
@@ -1,4 +1,4 @@
-; Floors under overload, with their defaults; docs/operating-overload.md. Pass the file with --admission.
+; Floors under overload, which are off without this file; docs/operating-overload.md. Pass the file with --admission.
 ; An unknown entry, a team that the platform's settings do not name, or a bad number is refused.
 ((floors 0.5)       ; part of the machines that all floors together may claim; 0: no floors
  (patience-s 60))   ; a job that has waited as long for its start claims its class's or team's floor
--- a/tests/office_test.cpp
+++ b/tests/office_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace bendspindle::app {
 namespace {
 
@@ -53,5 +55,32 @@
     EXPECT_EQ(office.controller->check(some_job()), core::Verdict::fits);
 }
 
+// Two lives of a process may begin in the same millisecond: no name may come from a clock.
+TEST(Names, ALaterEpochSharesNoneWithTheOneBefore) {
+    core::Config config;
+    config.zones = {"a"};
+    config.teams = {{"red", {}, {}}};
+    const core::Catalog catalog;
+    core::Fleet fleet(config, catalog);
+    core::Pipelines elder(fleet, 1);
+    core::Pipelines younger(fleet, 2);
+    std::uint64_t last = 0;
+    for (int i = 0; i < 1000; ++i) last = elder.next_attempt();
+    EXPECT_GT(younger.next_attempt(), last);
+
+    const core::TimePoint still{std::chrono::hours(1)};
+    std::set<std::string> names;
+    for (const std::uint64_t epoch : {1, 2}) {
+        core::Controller controller(config, epoch);
+        controller.set_types({some_type()});
+        controller.accept(some_job(), core::WallTime{}, still);
+        controller.written(controller.changes(10, still), 1, still);
+        const auto plan = controller.plan_renting(still);
+        ASSERT_FALSE(plan.rent.empty());
+        for (const auto& request : plan.rent)
+            EXPECT_TRUE(names.insert(request.request).second) << request.request;
+    }
+}
+
 }  // namespace
 }  // namespace bendspindle::app
