--- a/tests/office_test.cpp
+++ b/tests/office_test.cpp
@@ -55,6 +55,23 @@
     EXPECT_EQ(office.controller->check(some_job()), core::Verdict::fits);
 }
 
+// Guard against an answer that goes back: a former life may still say "running" of what was told as
+// over, so nothing is recorded as over before it must have stopped.
+TEST(Finals, AreNotRecordedWhileAFormerLifeMayStillAnswer) {
+    const auto controller = loaded();
+    controller->set_types({some_type()});
+    const core::TimePoint now{std::chrono::hours(1)};
+    controller->accept(some_job(), core::WallTime{}, now);
+    controller->written(controller->changes(10, now), 1, now);
+    controller->hold_finals_until(now + std::chrono::seconds(4));
+    ASSERT_TRUE(controller->cancel("job-1", now));
+    EXPECT_TRUE(controller->changes(10, now + std::chrono::seconds(3)).empty());
+    EXPECT_EQ(controller->status("job-1")->final, core::Final::none);
+    const auto due = controller->changes(10, now + std::chrono::seconds(4));
+    ASSERT_EQ(due.size(), 1U);
+    EXPECT_EQ(due[0].what, core::Change::What::finish_job);
+}
+
 // Two lives of a process may begin in the same millisecond: no name may come from a clock.
 TEST(Names, ALaterEpochSharesNoneWithTheOneBefore) {
     core::Config config;
