--- a/src/app/membership.cpp
+++ b/src/app/membership.cpp
@@ -104,9 +104,9 @@
             return;
         }
         if (outcome != Outcome::ok) return;
-        // Guard against a former life that goes on: its lease may live while another life of its name
-        // has put its own key over the one that the lease was for. Without this it would tell users
-        // what it knew for as long as it renews.
+        // Guard against a former life that goes on: its lease may live while another life of its
+        // name has put its own key over the one that the lease was for. Without this it would tell
+        // users what it knew for as long as it renews.
         if (const auto now = standing(); now.acting) {
             const auto holds = holds_key(now.steward_stamp);
             if (!holds) return;
@@ -199,7 +199,8 @@
         {{steward_key, wire::Value{{"name", name_}, {"incarnation", incarnation_}}, lease},
          {view_key, wire::view_record(next), std::nullopt}});
     // An unanswered transaction may have made this controller the steward without its knowing, or
-    // may still do so. Once its lease is ended for certain neither can last; else the lease runs out.
+    // may still do so. Once its lease is ended for certain neither can last; else the lease runs
+    // out.
     if (txn.outcome == Outcome::unknown) {
         step_down();
         const auto ended = store_.revoke(lease);
@@ -250,9 +251,8 @@
     if (!now.acting || view_.returns == 0 || view_.epoch != now.epoch) return;
     auto settled = view_;
     settled.returns = 0;
-    const auto txn =
-        store_.transact({{steward_key, now.steward_stamp}, {view_key, view_stamp_}},
-                        {{view_key, wire::view_record(settled), std::nullopt}});
+    const auto txn = store_.transact({{steward_key, now.steward_stamp}, {view_key, view_stamp_}},
+                                     {{view_key, wire::view_record(settled), std::nullopt}});
     // A conflict: this very write went through unnoticed, or another controller acts.
     if (txn.outcome == Outcome::ok || txn.outcome == Outcome::conflict) view_ = settled;
 }
--- a/src/app/membership.hpp
+++ b/src/app/membership.hpp
@@ -44,10 +44,11 @@
     // Whether no other controller can act yet, judged by this one's own clock.
     bool lease_valid() const;
     // From when on finals may be recorded. After a return over the key of a former life, that life,
-    // if it is not over after all, may believe in its lease for as long as a lease; what it then tells
-    // of an open job must not be older than a final told elsewhere.
+    // if it is not over after all, may believe in its lease for as long as a lease; what it then
+    // tells of an open job must not be older than a final told elsewhere.
     Clock::time_point finals_from() const;
-    // What this controller does as the one that acts gets somewhere: its next life may return at once.
+    // What this controller does as the one that acts gets somewhere: its next life may return at
+    // once.
     void made_progress();
     // Somebody has proof that another controller acts under a higher epoch.
     void suspect(std::uint64_t epoch);
--- a/src/app/succession.hpp
+++ b/src/app/succession.hpp
@@ -2,9 +2,9 @@
 //
 // A process that returns finds its former self's key, and nothing will ever renew that key's lease
 // again. Waiting for the lease to end was all that stood between the return and acting: 3 to 4 s in
-// which nothing new started. So it puts its own key over it by compare-and-set, under a higher epoch,
-// as any follower does once the key is gone. docs/acceptance.md argues why two by one name, a frozen
-// twin and late writes do no harm.
+// which nothing new started. So it puts its own key over it by compare-and-set, under a higher
+// epoch, as any follower does once the key is gone. docs/acceptance.md argues why two by one name,
+// a frozen twin and late writes do no harm.
 #pragma once
 
 #include <cstdint>
@@ -31,8 +31,8 @@
 };
 
 enum class Succession : std::uint8_t {
-    follow,    // somebody else acts, or may
-    take,      // nobody does
+    follow,     // somebody else acts, or may
+    take,       // nobody does
     come_back,  // over the key of the own former life
     give_way,   // it is this one's turn, but it has kept ending: others go first for a while
 };
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -32,9 +32,7 @@
         out->round(true);
         return out;
     }
-    std::uint32_t returns() {
-        return wire::parse_view(store_.get("view").entry.value)->returns;
-    }
+    std::uint32_t returns() { return wire::parse_view(store_.get("view").entry.value)->returns; }
 
     int port_;
     standin::StateService service_;
@@ -99,8 +97,8 @@
     const auto late = store_.transact({{"steward", key.stamp}, {"view", view.stamp}},
                                       {{"view", view.value, std::nullopt}});
     EXPECT_EQ(late.outcome, Outcome::conflict);
-    const auto first_of_all = store_.transact({{"steward", 0}, {"view", 0}},
-                                              {{"steward", key.value, std::nullopt}});
+    const auto first_of_all =
+        store_.transact({{"steward", 0}, {"view", 0}}, {{"steward", key.value, std::nullopt}});
     EXPECT_EQ(first_of_all.outcome, Outcome::conflict);
     second->round(true);
     EXPECT_TRUE(second->standing().acting);
