--- a/src/app/membership.cpp
+++ b/src/app/membership.cpp
@@ -168,7 +168,7 @@
         case Succession::take:
         case Succession::come_back:
             if (Clock::now() >= giving_way_until_)
-                take_over(key, parsed, parsed ? view.entry.stamp : 0, *lease);
+                take_over(key, parsed, parsed ? view.entry.stamp : 0, self);
             return;
         case Succession::give_way:
             spdlog::error("ended {} times soon after taking the role; others go first",
@@ -189,21 +189,20 @@
 
 void Membership::take_over(const std::optional<StewardKey>& former,
                            const std::optional<wire::ViewRecord>& view, std::uint64_t view_stamp,
-                           std::uint64_t lease) {
-    const Candidate self{name_, lease, just_returned_, gave_way_};
+                           const Candidate& self) {
     const wire::ViewRecord next{view ? view->epoch + 1 : 1, name_, returns_of_next(view, self)};
     // Under the new lease in the same step: the key is never gone, so nobody else takes the role
     // without knowing of the former life that may not be over.
     const auto txn = store_.transact(
         {{steward_key, former ? former->stamp : 0}, {view_key, view_stamp}},
-        {{steward_key, wire::Value{{"name", name_}, {"incarnation", incarnation_}}, lease},
+        {{steward_key, wire::Value{{"name", name_}, {"incarnation", incarnation_}}, self.lease},
          {view_key, wire::view_record(next), std::nullopt}});
     // An unanswered transaction may have made this controller the steward without its knowing, or
     // may still do so. Once its lease is ended for certain neither can last; else the lease runs
     // out.
     if (txn.outcome == Outcome::unknown) {
         step_down();
-        const auto ended = store_.revoke(lease);
+        const auto ended = store_.revoke(self.lease);
         const bool certain = ended == Outcome::ok || ended == Outcome::absent;
         const std::lock_guard lock(mutex_);
         if (!certain) next_renewal_ = Clock::now() + duration_cast<milliseconds>(lease_time_);
--- a/src/app/membership.hpp
+++ b/src/app/membership.hpp
@@ -61,7 +61,7 @@
     void look();
     void take_over(const std::optional<StewardKey>& former,
                    const std::optional<wire::ViewRecord>& view, std::uint64_t view_stamp,
-                   std::uint64_t lease);
+                   const Candidate& self);
     void end_former_lease();
     void record_progress();
     void step_down();
