Heard is not hearing; mistaken jobs do not speak against machines; own standstill

Failures of two jobs released a machine, so two jobs submitted with a mistake emptied the machines they came by, and each try of an array started all its tasks. A controller that had stood still found every machine silent for as long. A machine whose reports arrive but which no answer reaches counted as free and drew all work; one that never showed the token after a takeover was kept for ever. A late copy of a report made a machine again, with a record that held up adopted work, and could overwrite address and type.

A job that failed on two machines and of which nothing is done is suspect: its failures count half, one task of an array is tried at a time, none of its machines is rented while it waits; what it said is restored once a task is done. Tasks started together count as one try. Hearing is proved by a token that rose, an order that shows or an answered call; a machine without is not used, is asked directly, and is given up after a lease, a tenth of all at most within a lease. Pauses longer than a cycle move all times that silence is judged by. An unreadable machine record counts as a machine that may hold anything.

--- a/src/core/catalog.cpp
+++ b/src/core/catalog.cpp
@@ -45,6 +45,16 @@
     for (std::size_t i = 0; i < types_.size(); ++i) index_[types_[i].name] = i;
 }
 
+Resources Catalog::largest() const {
+    Resources out;
+    for (const auto& type : types_) {
+        out.cpus = std::max(out.cpus, type.size.cpus);
+        out.gpus = std::max(out.gpus, type.size.gpus);
+        out.memory_gb = std::max(out.memory_gb, type.size.memory_gb);
+    }
+    return out;
+}
+
 std::optional<std::size_t> Catalog::find(const std::string& name) const {
     const auto it = index_.find(name);
     if (it == index_.end()) return std::nullopt;
--- a/src/core/catalog.hpp
+++ b/src/core/catalog.hpp
@@ -27,6 +27,8 @@
     const std::vector<MachineType>& types() const { return types_; }
     const MachineType& operator[](std::size_t type) const { return types_[type]; }
     std::optional<std::size_t> find(const std::string& name) const;
+    // As much of everything as any type has.
+    Resources largest() const;
     // Whether machines of a type are rented for such work, among those that it is allowed on.
     bool suits(const JobSpec& spec, const MachineType& type) const;
     // The longest boot among the types a job may use: which one is to be had is not known before.
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -27,6 +27,11 @@
     fleet_.load(record, stamp, now);
 }
 
+void Controller::load_unreadable_machine(const std::string& name, std::uint64_t stamp,
+                                         TimePoint now) {
+    fleet_.load_unreadable(name, stamp, now);
+}
+
 bool Controller::learn(const JobRecord& record, std::uint64_t stamp, TimePoint now) {
     if (knows(record.spec.id)) return false;
     pipelines_.learn(record, stamp, now);
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -38,6 +38,10 @@
     void set_types(std::vector<MachineType> types);
     void load_job(const JobRecord& record, std::uint64_t stamp, TimePoint now);
     void load_machine(const ListedMachine& record, std::uint64_t stamp, TimePoint now);
+    // Records that cannot be read: what they are of is left alone, and everything else goes on.
+    void load_unreadable_machine(const std::string& name, std::uint64_t stamp, TimePoint now);
+    void set_aside(const std::string& job) { pipelines_.set_aside(job); }
+    bool aside(const std::string& job) const { return pipelines_.aside(job); }
 
     // A job that another controller has accepted in this epoch. False: it was known already.
     bool learn(const JobRecord& record, std::uint64_t stamp, TimePoint now);
--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -12,8 +12,10 @@
 constexpr Seconds first_pause{0.5};
 constexpr Seconds longest_pause{30};
 constexpr std::uint32_t pauses_counted = 6;
-// Failures of this many jobs speak against the machine.
-constexpr std::size_t jobs_against_a_machine = 2;
+// Failures of this many jobs speak against the machine, or of more that have failed on others as
+// well and on none been done: either they are mistaken or several machines are faulty.
+constexpr double against_a_machine = 2;
+constexpr double of_a_suspect = 0.5;
 
 bool is_placement(const Job& job, const Machine& machine, const ReportedTask& task) {
     const auto it = job.placed.find(task.index);
@@ -33,9 +35,10 @@
         if (machine.call_out || machine.address.empty() || machine.releasing) continue;
         DirectCall call{
             name, machine.address, epoch_, std::max<std::uint64_t>(machine.session, 1), {}};
-        if (machine.durable && !machine.confirmed) {
+        if ((machine.durable && !machine.confirmed) || machine.deaf_since) {
             // Each recorded machine is asked at once after a takeover: a former controller that
-            // does not know it is one may keep the workers' reports to itself.
+            // does not know it is one may keep the workers' reports to itself. One that does not
+            // seem to hear is asked until it answers.
             if (machine.last_call != TimePoint{} && between(machine.last_call, now) < ask_again)
                 continue;
         } else {
@@ -94,6 +97,7 @@
     fleet_.observe(*machine, *answer, now);
     if (answer->token < epoch_) return;
     fleet_.confirm(*machine, now);
+    Fleet::hears(*machine);
     // What it would order goes out with the next report; nothing here depends on its arrival.
     std::vector<Order> later_orders;
     reconcile(*machine, *answer, Source::direct_answer, now, later_orders);
@@ -104,19 +108,26 @@
     ReportAnswer answer{true, epoch_, {}};
     // A machine whose release was answered is gone; this report was held up on its way.
     if (fleet_.gone(report.machine)) return answer;
+    // Guard against held-up reports and copies: an older list must never replace a newer one, nor
+    // an address or a type, and orders in this answer would reach nobody.
+    if (const auto* known = fleet_.find(report.machine); known && known->has_seen(report))
+        return answer;
     auto& machine = fleet_.meet(report, now);
-    // Guard against held-up reports: an older list must never replace a newer one.
-    if (machine.has_seen(report)) return answer;
     fleet_.observe(machine, report, now);
     // Guard against ran_twice: until the machine has seen this token, a start of the former
     // epoch may still take effect after the list was made.
     if (report.token < epoch_) return answer;
     fleet_.confirm(machine, now);
+    fleet_.heed(machine, report, now);
     reconcile(machine, report, Source::report, now, answer.orders);
-    if (machine.taken_at) drain(machine, now);
+    if (machine.taken_at) {
+        drain(machine, now);
+        unbind(machine);
+    }
     stop_ready(machine, now, answer.orders);
     start_ready(machine, now, false, answer.orders);
     if (!machine.held.empty()) machine.idle_since = now;
+    machine.asked = answer.orders;
     return answer;
 }
 
@@ -154,6 +165,8 @@
                               std::vector<Order>& orders) {
     auto* job = pipelines_.find(task.job);
     const bool exited = task.state == TaskState::exited;
+    // Guard: not over, only not understood here; another version may be.
+    if (!job && pipelines_.aside(task.job)) return;
     // All open jobs are in memory before the first report is handled, so an unknown one is
     // over, and nothing of it is wanted.
     if (!job || task.index >= job->spec.tasks) {
@@ -314,42 +327,91 @@
                 estimates_.ran(job, between(placement.running_from, now));
             pipelines_.drop(job, task.index);
         }
+        if (!job.failed_on.empty()) clear_job(job);
         machine.failed_jobs.clear();
+        judge(machine);
         fleet_.note_image(machine, job);
         pipelines_.complete(job, task.index, now);
         return;
     }
     if (!ours) return;
+    const auto ordered_at = job.placed.at(task.index).ordered_at;
     pipelines_.drop(job, task.index);
-    if (task.cause == ExitCause::error) task_failed(machine, job, now);
+    if (task.cause == ExitCause::error) task_failed(machine, job, ordered_at, now);
     if (!job.over()) pipelines_.break_gang(job, task.attempt);
 }
 
 // Failures of several jobs speak against the machine, failures everywhere against the job.
-void Dispatch::task_failed(Machine& machine, Job& job, TimePoint now) {
+void Dispatch::task_failed(Machine& machine, Job& job, TimePoint ordered_at, TimePoint now) {
     ++counts_.errors;
+    const bool suspected = job.suspect();
+    job.failed_on.insert(machine.name);
+    if (job.suspect() && !suspected) weigh(job, of_a_suspect);
+    machine.failed_jobs[job.spec.id] = job.suspect() ? of_a_suspect : 1;
+    judge(machine);
+    // Tasks that were started together fail together, and count as one try.
+    if (job.errors > 0 && ordered_at < job.failed_at) return;
     ++job.errors;
-    machine.failed_jobs.insert(job.spec.id);
-    if (machine.failed_jobs.size() >= jobs_against_a_machine) machine.failing = true;
+    job.failed_at = now;
     const double doublings = std::min(job.errors, pauses_counted) - 1.0;
     job.not_before = later(now, std::min(longest_pause, first_pause * std::pow(2.0, doublings)));
 }
 
+// Guard against healthy machines returned for a mistake in a job: its tasks fail wherever they are
+// started, and two such jobs were enough to speak against each machine they came by.
+void Dispatch::weigh(const Job& job, double weight) {
+    for (const auto& name : job.failed_on) {
+        auto* other = fleet_.find(name);
+        if (!other) continue;
+        const auto entry = other->failed_jobs.find(job.spec.id);
+        if (entry == other->failed_jobs.end()) continue;
+        entry->second = weight;
+        judge(*other);
+    }
+}
+
+// It can be done, so where it failed the machine was at fault.
+void Dispatch::clear_job(Job& job) {
+    weigh(job, 1);
+    job.failed_on.clear();
+    job.errors = 0;
+}
+
+void Dispatch::judge(Machine& machine) {
+    double against = 0;
+    for (const auto& [id, weight] : machine.failed_jobs) against += weight;
+    machine.failing = against >= against_a_machine;
+}
+
 void Dispatch::drain(TimePoint now) {
-    for (auto& [name, machine] : fleet_.all())
+    for (auto& [name, machine] : fleet_.all()) {
         if (machine.draining()) drain(machine, now);
+        if (machine.draining() || machine.deaf_since) unbind(machine);
+    }
+}
+
+// Guard against a gang held up until it gives itself up: its other tasks waited for one that was
+// bound to a machine that no order reached.
+void Dispatch::unbind(Machine& machine) {
+    std::vector<std::pair<Job*, std::uint32_t>> bound;
+    for (const auto& [key, task] : machine.held)
+        if (task.placement->stage == Placement::Stage::bound)
+            bound.push_back({task.job, key.second});
+    for (const auto& [job, index] : bound) {
+        // A gang broken for an earlier entry has been unbound as a whole.
+        const auto it = job->placed.find(index);
+        if (it == job->placed.end()) continue;
+        const auto attempt = it->second.attempt;
+        pipelines_.drop(*job, index);
+        pipelines_.break_gang(*job, attempt);
+    }
 }
 
 void Dispatch::drain(Machine& machine, TimePoint now) {
-    std::vector<std::pair<Job*, std::uint32_t>> unbind;
     for (const auto& [key, task] : machine.held) {
         auto& job = *task.job;
         auto& placement = *task.placement;
-        if (placement.stage == Placement::Stage::bound) {
-            unbind.push_back({&job, key.second});
-            continue;
-        }
-        if (placement.stopping) continue;
+        if (placement.stage == Placement::Stage::bound || placement.stopping) continue;
         const bool saves = job.spec.checkpoint > Seconds{0};
         if (machine.taken_at) {
             const auto left = between(now, *machine.taken_at);
@@ -360,14 +422,6 @@
         }
         Pipelines::stop_to_save(job, placement);
     }
-    for (const auto& [job, index] : unbind) {
-        // A gang broken for an earlier entry has been unbound as a whole.
-        const auto it = job->placed.find(index);
-        if (it == job->placed.end()) continue;
-        const auto attempt = it->second.attempt;
-        pipelines_.drop(*job, index);
-        pipelines_.break_gang(*job, attempt);
-    }
 }
 
 void Dispatch::stop_ready(Machine& machine, TimePoint now, std::vector<Order>& orders) const {
--- a/src/core/dispatch.hpp
+++ b/src/core/dispatch.hpp
@@ -99,11 +99,15 @@
     void note_start(Job& job, TimePoint now);
     void count_strays(Machine& machine) const;
     void task_exited(Machine& machine, Job& job, const ReportedTask& task, TimePoint now);
-    void task_failed(Machine& machine, Job& job, TimePoint now);
+    void task_failed(Machine& machine, Job& job, TimePoint ordered_at, TimePoint now);
+    void weigh(const Job& job, double weight);
+    void clear_job(Job& job);
+    static void judge(Machine& machine);
     void settle_start(Machine& machine, const Order& order, const DirectCall& call,
                       CallOutcome outcome, const Report* answer);
     void repeat_stop(const Order& order);
     void drain(Machine& machine, TimePoint now);
+    void unbind(Machine& machine);
     void stop_ready(Machine& machine, TimePoint now, std::vector<Order>& orders) const;
     void start_ready(Machine& machine, TimePoint now, bool direct, std::vector<Order>& orders);
 
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -1,6 +1,8 @@
 #include "core/fleet.hpp"
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 namespace bendspindle::core {
 
@@ -9,8 +11,31 @@
 constexpr std::size_t gone_remembered = 4096;
 constexpr Seconds silence_beyond_lease{2};
 constexpr Seconds beyond_list_lag{2};
+// Beyond a cycle; a busy controller may be late by less.
+constexpr Seconds own_standstill{2};
 // Part of the time in which a cancelled job's tasks must be gone; then the machine is released.
 constexpr double cancel_share = 0.6;
+// Reports in a row that show none of the orders given: one answer may be lost on any network.
+constexpr std::uint32_t reports_unheeded = 2;
+// Of the machines that are heard but do not hear, this share may be given up within a lease; and two
+// in any case. More at once are rather this controller's own trouble than theirs.
+constexpr double share_given_up = 0.1;
+constexpr std::size_t least_given_up = 2;
+
+bool shows(const Order& order, const Report& report) {
+    const auto it = std::find_if(report.tasks.begin(), report.tasks.end(), [&](const auto& task) {
+        return task.index == order.index && task.attempt == order.attempt && task.job == order.job;
+    });
+    switch (order.verb) {
+        case Order::Verb::start:
+            return it != report.tasks.end();
+        case Order::Verb::stop:
+            return it == report.tasks.end() || it->state == TaskState::exited;
+        case Order::Verb::forget:
+            return it == report.tasks.end();
+    }
+    return true;
+}
 
 }  // namespace
 
@@ -53,6 +78,11 @@
     machine.first_seen = machine.last_report = machine.idle_since = machine.loaded_at = now;
 }
 
+void Fleet::load_unreadable(const std::string& name, std::uint64_t stamp, TimePoint now) {
+    load({name, {}, {}, {}, false, MachineStage::running, Seconds{0}}, stamp, now);
+    machines_.at(name).unreadable = true;
+}
+
 Machine& Fleet::meet(const Report& report, TimePoint now) {
     auto [it, fresh] = machines_.try_emplace(report.machine);
     auto& machine = it->second;
@@ -69,6 +99,7 @@
         auto [it, fresh] = machines_.try_emplace(name);
         if (!fresh) continue;
         auto& machine = it->second;
+        machine.cloud_knows = true;
         describe(machine, name, request.type, request.zone, request.spot);
         machine.first_seen = machine.last_report = machine.idle_since = now;
     }
@@ -90,6 +121,7 @@
             }
         }
         auto [it, fresh] = machines_.try_emplace(entry.name);
+        it->second.cloud_knows = true;
         if (it->second.address.empty()) it->second.address = entry.address;
         if (!fresh) continue;
         // A machine that nobody here asked for: a late rental, or one of a former steward.
@@ -113,7 +145,16 @@
 }
 
 void Fleet::observe(Machine& machine, const Report& report, TimePoint now) {
-    if (report.session != machine.session) machine.unanswered.clear();
+    if (report.session != machine.session) {
+        machine.unanswered.clear();
+        machine.asked.clear();
+        // Its lease ran out for want of answers while its reports came all the time, each of them
+        // answered: it is heard and does not hear.
+        const bool heard_throughout = machine.confirmed && machine.session != 0 &&
+                                      between(machine.last_report, now) < config_.workers.lease / 2;
+        if (heard_throughout && !machine.deaf_since) machine.deaf_since = now;
+    }
+    if (!machine.heard_since) machine.heard_since = now;
     machine.session = report.session;
     machine.seq = report.seq;
     machine.last_report = now;
@@ -123,11 +164,87 @@
 }
 
 void Fleet::confirm(Machine& machine, TimePoint now) {
-    if (!machine.confirmed) machine.idle_since = now;
+    if (!machine.confirmed) {
+        // Its token rose.
+        machine.idle_since = now;
+        hears(machine);
+    }
     machine.confirmed = true;
 }
 
+// Guard against a machine that draws all work to itself: no order reached it, its reports said that
+// it was free, and every task was placed there again after each of them.
+void Fleet::heed(Machine& machine, const Report& report, TimePoint now) {
+    const auto asked = std::exchange(machine.asked, {});
+    // A task of a gang that saves is reported as running until it exits, so a stop with time to save
+    // that does not show says nothing.
+    const auto telling = [](const Order& order) {
+        return order.verb != Order::Verb::stop || order.grace <= Seconds{0};
+    };
+    if (std::none_of(asked.begin(), asked.end(), telling)) return;
+    const bool any = std::any_of(asked.begin(), asked.end(), [&](const Order& order) {
+        return telling(order) && shows(order, report);
+    });
+    if (any)
+        hears(machine);
+    else if (++machine.unheeded >= reports_unheeded && !machine.deaf_since)
+        machine.deaf_since = now;
+}
+
+void Fleet::hears(Machine& machine) {
+    machine.unheeded = 0;
+    machine.deaf_since.reset();
+}
+
+// Heard all the time, and for longer than a lease without any sign that it hears. One that renewed
+// its lease all the same hears something: its session is the same.
+bool Fleet::out_of_reach(const Machine& machine, TimePoint now) const {
+    if (machine.releasing || !machine.heard_since) return false;
+    const auto patience = config_.workers.lease + silence_beyond_lease;
+    if (!machine.confirmed)
+        return between(later(*machine.heard_since, patience), now) > Seconds{0};
+    return machine.deaf_since && machine.held.empty() &&
+           between(*machine.deaf_since, now) > patience;
+}
+
+// Guard against charges without end, and against work of a former epoch that waits for ever: the
+// reports of such a machine kept it alive, and nothing that it was told arrived.
+void Fleet::release_out_of_reach(TimePoint now) {
+    while (!given_up_.empty() && between(given_up_.front(), now) > config_.workers.lease)
+        given_up_.pop_front();
+    const auto most = std::max(least_given_up, static_cast<std::size_t>(std::floor(
+                                                   static_cast<double>(machines_.size()) *
+                                                   share_given_up)));
+    for (auto& [name, machine] : machines_) {
+        if (given_up_.size() >= most) return;
+        if (!out_of_reach(machine, now)) continue;
+        machine.releasing = true;
+        given_up_.push_back(now);
+    }
+}
+
+// Guard against a fleet returned for its controller's own silence: one that had stood still for
+// longer than a lease found that it had heard of no machine for as long.
+void Fleet::keep_time(TimePoint now) {
+    const auto last = std::exchange(kept_time_, now);
+    if (!last) return;
+    const auto paused = between(*last, now);
+    if (paused < config_.cycle + own_standstill) return;
+    for (auto& [name, machine] : machines_) {
+        const auto moved = [&](TimePoint t) { return std::min(now, later(t, paused)); };
+        machine.last_report = moved(machine.last_report);
+        machine.first_seen = moved(machine.first_seen);
+        machine.idle_since = moved(machine.idle_since);
+        if (machine.unwanted_since) machine.unwanted_since = moved(*machine.unwanted_since);
+        if (machine.loaded_at != TimePoint{}) machine.loaded_at = moved(machine.loaded_at);
+        if (machine.heard_since) machine.heard_since = moved(*machine.heard_since);
+        if (machine.deaf_since) machine.deaf_since = moved(*machine.deaf_since);
+    }
+}
+
 void Fleet::watch(TimePoint now) {
+    keep_time(now);
+    release_out_of_reach(now);
     const auto lease = config_.workers.lease + silence_beyond_lease;
     for (auto& [name, machine] : machines_) {
         if (machine.releasing) continue;
@@ -146,15 +263,18 @@
             machine.releasing = true;  // never came up
         if (machine.failing && machine.held.empty()) machine.releasing = true;
         // Guard against ran_cancelled: what cannot be reached must be gone in time.
-        for (const auto& [key, task] : machine.held) {
-            const auto& job = *task.job;
-            if (job.final != Final::cancelled || job.cancelled_at == TimePoint{}) continue;
-            if (between(job.cancelled_at, now) > config_.workers.cancel * cancel_share)
-                machine.releasing = true;
-        }
+        if (overdue(machine, now)) machine.releasing = true;
     }
 }
 
+bool Fleet::overdue(const Machine& machine, TimePoint now) const {
+    return std::any_of(machine.held.begin(), machine.held.end(), [&](const auto& entry) {
+        const auto& job = *entry.second.job;
+        return job.final == Final::cancelled && job.cancelled_at != TimePoint{} &&
+               between(job.cancelled_at, now) > config_.workers.cancel * cancel_share;
+    });
+}
+
 void Fleet::remove(const std::string& name) {
     const auto it = machines_.find(name);
     if (it == machines_.end()) return;
@@ -169,6 +289,7 @@
 
 bool Fleet::usable(const Machine& machine, TimePoint now) const {
     return machine.confirmed && machine.durable && machine.type_known && !machine.draining() &&
+           !machine.deaf_since &&
            between(machine.last_report, now) < config_.workers.report * 2.5 + Seconds{1};
 }
 
@@ -185,7 +306,8 @@
     return std::any_of(machines_.begin(), machines_.end(), [&](const auto& entry) {
         const auto& machine = entry.second;
         return machine.durable && !machine.confirmed &&
-               allowed(job.spec, machine.type_name, machine.zone, machine.spot);
+               (machine.unreadable ||
+                allowed(job.spec, machine.type_name, machine.zone, machine.spot));
     });
 }
 
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -4,6 +4,9 @@
 //  - The token is the epoch of the view. A machine is *confirmed* once a message of its own shows
 //    it; from then on its task list is the truth (docs/design.md, "Placing anew").
 //  - Only `remove` says that a machine is gone, and only an answered release leads to it.
+//  - Heard and hearing are two facts. A report proves that a machine is heard. That it hears is
+//    proved only by what could not be there without a word of ours: a token that rose, an order
+//    that shows in its next report, an answered direct call (docs/troubles.md).
 //
 // What a machine holds is an index into the jobs' placements; `Pipelines` changes both together.
 #pragma once
@@ -47,9 +50,11 @@
     std::string zone;
     bool spot = false;
 
+    bool unreadable = false;  // its record: anything may run there until it is confirmed
     bool durable = false;    // recorded in the state service: starts may be ordered
     bool confirmed = false;  // a report of its own has shown this epoch's token
     bool reported = false;   // any report in this epoch
+    bool cloud_knows = false;  // rented or listed in this epoch: no late copy made it up
     bool releasing = false;
     bool failing = false;  // tasks of several jobs failed on it
     std::uint64_t stamp = 0;
@@ -66,7 +71,14 @@
     std::map<HeldKey, HeldTask> held;
     Resources strays;                 // of tasks in the last report that are no placement of ours
     std::vector<CachedImage> images;  // most recently used last
-    std::set<std::string> failed_jobs;
+    // Jobs of which a task failed here since a task was last done, with what that says against the
+    // machine; 1 of each, less of jobs that fail everywhere.
+    std::map<std::string, double> failed_jobs;
+    // What the answer to its last report ordered, until the next one shows whether it was heard.
+    std::vector<Order> asked;
+    std::uint32_t unheeded = 0;        // reports in a row that showed none of what was ordered
+    std::optional<TimePoint> deaf_since;  // heard, but by all signs it does not hear
+    std::optional<TimePoint> heard_since;  // its first report in this epoch
     bool call_out = false;  // one direct call at a time
     TimePoint last_call{};
     // Attempts whose direct start was never answered: a late copy may still arrive, and would
@@ -95,6 +107,8 @@
     void catalog_changed();
     // Ways in which machines become known.
     void load(const ListedMachine& record, std::uint64_t stamp, TimePoint now);
+    // Its name is all that is known of it: until it reports or is gone it may hold anything.
+    void load_unreadable(const std::string& name, std::uint64_t stamp, TimePoint now);
     Machine& meet(const Report& report, TimePoint now);
     void rented(const RentRequest& request, const std::vector<std::string>& names, TimePoint now);
     // The whole list, asked for at `asked`.
@@ -104,8 +118,17 @@
     void observe(Machine& machine, const Report& report, TimePoint now);
     // Its message has shown this epoch's token.
     void confirm(Machine& machine, TimePoint now);
+    // What a newer report shows of the orders that the answer before it carried.
+    void heed(Machine& machine, const Report& report, TimePoint now);
+    // It has shown that a word of ours arrived.
+    static void hears(Machine& machine);
+    // Called at least once a cycle, before time is judged by: a longer pause is this controller's own,
+    // and is no machine's silence.
+    void keep_time(TimePoint now);
     // Marks for release what is silent, never came up, fails, or holds what must be gone.
     void watch(TimePoint now);
+    // Whether it holds what was cancelled so long ago that it must be gone, whatever else is true.
+    bool overdue(const Machine& machine, TimePoint now) const;
     // Its release was answered: it is gone, and stays so whatever is heard of it later.
     void remove(const std::string& name);
     bool gone(const std::string& name) const { return gone_.contains(name); }
@@ -121,9 +144,17 @@
     std::size_t unconfirmed() const;
     void note_image(Machine& machine, const Job& job);
 
-    // Records in the state service.
+    // Whether it is there for certain, and not only in a report, which may be the late copy of one
+    // from a machine that a former controller has returned.
+    static bool certain(const Machine& machine) {
+        return machine.durable || machine.confirmed || machine.cloud_knows;
+    }
+
+    // Records in the state service. Guard against a record for nothing: a copy of an old report made
+    // a machine again, and work of the epoch before waited for its confirmation.
     bool wants_record(const Machine& machine) const {
-        return !machine.durable && !machine.releasing && machine.type_known && machine.reported;
+        return !machine.durable && !machine.releasing && machine.type_known && machine.reported &&
+               certain(machine);
     }
     // Gone machines whose records are to go, with the records' stamps.
     const std::map<std::string, std::uint64_t>& records_to_drop() const { return dropping_; }
@@ -135,6 +166,8 @@
 
   private:
     TimePoint seen_in_list_by(const Machine& machine) const;
+    bool out_of_reach(const Machine& machine, TimePoint now) const;
+    void release_out_of_reach(TimePoint now);
     void set_type(Machine& machine);
     void describe(Machine& machine, const std::string& name, const std::string& type,
                   const std::string& zone, bool spot);
@@ -143,6 +176,8 @@
     const Catalog& catalog_;
     std::map<std::string, Machine> machines_;
     std::map<std::string, std::uint64_t> dropping_;
+    std::optional<TimePoint> kept_time_;  // last
+    std::deque<TimePoint> given_up_;  // when machines out of reach were, of late
     std::set<std::string> gone_;
     std::deque<std::string> gone_order_;
 };
--- a/src/core/job.hpp
+++ b/src/core/job.hpp
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -61,6 +62,8 @@
     Seconds rpm{0};
 };
 
+inline constexpr std::size_t machines_against_a_job = 2;
+
 struct Job {
     JobSpec spec;
     std::uint64_t serial = 0;
@@ -87,7 +90,9 @@
     std::size_t image = 0;          // dsmf::image_id of the spec's image
     std::uint32_t first_idle = 0;
     // Errors speak against the job only when several machines agree.
-    std::uint32_t errors = 0;
+    std::uint32_t errors = 0;  // tries in a row that failed
+    std::set<std::string> failed_on;
+    TimePoint failed_at{};
     TimePoint not_before{};
     TimePoint cancelled_at{};
     // Writing.
@@ -101,6 +106,12 @@
     std::uint32_t idle_count() const { return spec.tasks - finished - placed_open; }
     void set_phase(std::uint32_t index, TaskPhase to);
     bool over() const { return final != Final::none; }
+    // Fails on every machine so far: submitted with a mistake, perhaps.
+    bool suspect() const { return failed_on.size() >= machines_against_a_job && finished == 0; }
+    // How many of its tasks are tried at once.
+    std::uint32_t tried_at_once() const {
+        return suspect() && spec.kind != Kind::gang ? 1 : spec.tasks;
+    }
     std::uint32_t next_idle();
 };
 
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -37,8 +37,10 @@
     // Guard against `quota` after a takeover: what an unconfirmed machine runs is not known, so
     // all of it counts against every team.
     for (const auto& [name, machine] : fleet_.all()) {
-        if (machine.confirmed || !machine.durable || !machine.type_known) continue;
-        for (auto& [team, use] : out.use_) use += catalog_[machine.type].size;
+        if (machine.confirmed || !machine.durable) continue;
+        if (!machine.type_known && !machine.unreadable) continue;
+        for (auto& [team, use] : out.use_)
+            use += machine.type_known ? catalog_[machine.type].size : catalog_.largest();
     }
     fill_floors(out, now);
     return out;
--- a/src/core/pipelines.hpp
+++ b/src/core/pipelines.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -69,6 +70,9 @@
                  TimePoint now);
     void final_written(Job& job);
     void restamp(const std::string& id, std::uint64_t stamp);
+    // Jobs whose record cannot be read: their tasks are left alone.
+    void set_aside(const std::string& id) { aside_.insert(id); }
+    bool aside(const std::string& id) const { return aside_.contains(id); }
     // Jobs that are over and nowhere any more leave memory.
     void forget_if_over(Job& job);
     void forget_all_over();
@@ -84,6 +88,7 @@
     std::uint64_t next_serial_ = 0;
     Jobs jobs_;
     std::unordered_map<std::string, Job*> by_id_;
+    std::set<std::string> aside_;
 };
 
 }  // namespace bendspindle::core
--- a/src/core/placing.cpp
+++ b/src/core/placing.cpp
@@ -101,9 +101,21 @@
             for (const bool spot : {false, true})
                 out.groups.push_back(allowed(job.spec, type.name, zone, spot) &&
                                      (!floored || catalog_.suits(job.spec, type)));
-    if (job.errors > 0 && snapshot.machines.size() > 1)
-        for (std::size_t m = 0; m < snapshot.machines.size(); ++m)
-            if (snapshot.machines[m]->failed_jobs.contains(job.spec.id)) out.barred.push_back(m);
+    if (job.errors > 0) out.barred = barred(job, snapshot);
+    return out;
+}
+
+// The next try goes elsewhere. Guard against no next try: a gang that failed on many machines had
+// too few left, and since there were machines enough none was rented for it.
+std::vector<std::size_t> Placing::barred(const Job& job, const Snapshot& snapshot) const {
+    std::vector<std::size_t> out;
+    std::size_t allowed_ones = 0;
+    for (std::size_t m = 0; m < snapshot.machines.size(); ++m) {
+        if (!fleet_.allows(job.spec, *snapshot.machines[m])) continue;
+        ++allowed_ones;
+        if (snapshot.machines[m]->failed_jobs.contains(job.spec.id)) out.push_back(m);
+    }
+    if (out.size() * 2 > allowed_ones) out.clear();
     return out;
 }
 
@@ -131,7 +143,9 @@
         if (idle == 0 || fleet_.in_doubt(*job)) continue;
         if (!job->waits_since) job->waits_since = now;
         if (between(*job->waits_since, now) > owed_after) job->owed = true;
-        const auto room = standing.room(*job);
+        const auto tried = job->tried_at_once();
+        if (!gang && job->placed_open >= tried) continue;
+        const auto room = std::min(standing.room(*job), gang ? idle : tried - job->placed_open);
         if (room == 0 || (gang && room < idle)) continue;
         dsmf::Pipeline pipeline;
         pipeline.rank = standing.rank(*job);
--- a/src/core/placing.hpp
+++ b/src/core/placing.hpp
@@ -43,6 +43,8 @@
     void see_jobs(Snapshot& snapshot, const Standing& standing, TimePoint now) const;
     dsmf::EligibleJob eligible(const Job& job, std::uint32_t tasks, bool floored,
                                const Snapshot& snapshot) const;
+    // Machines on which it has failed.
+    std::vector<std::size_t> barred(const Job& job, const Snapshot& snapshot) const;
     // Stretches makespans where more is asked for than there is.
     void share_out(Snapshot& snapshot, const Standing& standing) const;
     void bind(const dsmf::Result& result, const Snapshot& snapshot, Standing& standing,
--- a/src/core/renting.cpp
+++ b/src/core/renting.cpp
@@ -167,7 +167,9 @@
 // How many of a job's tasks should run at once: all of a gang; of an array, as many as finish it
 // by its deadline, or within about a boot where it has none.
 std::uint32_t Renting::wanted(const Job& job, TimePoint now) const {
-    const auto left = job.spec.tasks - job.finished;
+    // Machines are not paid for a job that fails everywhere while it waits for its next try.
+    if (job.suspect() && job.not_before > now) return 0;
+    const auto left = std::min(job.spec.tasks - job.finished, job.tried_at_once());
     if (job.spec.kind != Kind::array || left == 0) return left;
     const auto run = estimates_.expected_run(job);
     Seconds horizon = run;
@@ -255,7 +257,11 @@
                 packing.add_pool(key, t, until != refused_until_.end() && until->second > now);
             }
     for (const auto& [name, machine] : fleet_.all()) {
-        if (machine.draining() || !machine.type_known) continue;
+        if (machine.draining() || machine.deaf_since || !machine.type_known) continue;
+        // One that nobody has rented shows itself as real within a report or two, or never does.
+        if (!Fleet::certain(machine) &&
+            between(machine.first_seen, now) > config_.workers.report * 2)
+            continue;
         if (machine.reported && between(machine.last_report, now) > config_.workers.lease) continue;
         packing.add(machine);
     }
@@ -267,6 +273,11 @@
     std::vector<std::string> out;
     const auto wanted = packing.used();
     for (auto& [name, machine] : fleet_.all()) {
+        if (machine.deaf_since) {
+            // No capacity, but not unwanted either: `Fleet` gives it up, and not many at once.
+            if (machine.releasing && out.size() < most_a_release) out.push_back(name);
+            continue;
+        }
         const bool paid = between(machine.first_seen, now) > config_.least_paid;
         if (wanted.contains(name))
             machine.unwanted_since.reset();
@@ -288,6 +299,7 @@
 RentPlan Renting::plan(TimePoint now) {
     RentPlan out;
     if (!catalog_.known()) return out;
+    fleet_.keep_time(now);
     const auto packing = pack(wants(now), now);
     for (const auto& pool : packing.pools()) {
         if (pool.to_rent == 0) continue;
@@ -301,6 +313,8 @@
         out.rent.push_back(std::move(request));
     }
     out.release = returns(packing, now);
+    for (const auto& name : out.release)
+        if (fleet_.overdue(fleet_.at(name), now)) out.overdue.push_back(name);
     return out;
 }
 
