A standing still controller returns no machines; one cut off from workers gives way

Nothing is rented or returned without a valid lease, except machines that hold what was cancelled. A follower hands on reports of a worker that knows the present token before sending it to the acting one (app/visits); that one gives the role away while workers reach it through siblings only. An unreadable record is set aside instead of keeping everybody from acting; a record that the state service calls malformed is told apart and waits alone. A controller that alone lacks the state service is not healthy. The length of the list of types is bounded.

--- a/src/app/acceptor.cpp
+++ b/src/app/acceptor.cpp
@@ -36,7 +36,11 @@
 }
 
 Acceptor::Batch Acceptor::gather() {
-    const auto most = std::min(limits_.txn_ops, most_bytes / assumed_record_bytes);
+    // Guard: one record that the state service calls malformed took all that were written with it
+    // along, until their users gave up. They are told apart one by one.
+    const auto most =
+        alone_ > 0 ? std::size_t{1} : std::min(limits_.txn_ops, most_bytes / assumed_record_bytes);
+    if (alone_ > 0) --alone_;
     Batch batch;
     const std::lock_guard lock(mutex_);
     while (!waiting_.empty() && batch.size() < most) {
@@ -60,13 +64,15 @@
         else if (txn.outcome == app::Outcome::conflict &&
                  (failed(keys::job(id)) || failed(keys::over(id))))
             entry->outcome = Outcome::known;
+        else if (txn.outcome == app::Outcome::invalid && batch.size() == 1)
+            entry->outcome = Outcome::failed;
         else
             waiting_.push_front(entry);
     }
     settled_.notify_all();
 }
 
-void Acceptor::write(const Batch& batch) {
+app::Outcome Acceptor::write(const Batch& batch) {
     std::vector<wire::Condition> conditions;
     std::vector<wire::Operation> operations;
     for (const auto& entry : batch) {
@@ -75,7 +81,9 @@
         conditions.push_back({keys::over(id), 0});
         operations.push_back({keys::job(id), wire::job_record(entry->record), {}});
     }
-    settle(batch, store_.transact(conditions, operations));
+    const auto txn = store_.transact(conditions, operations);
+    settle(batch, txn);
+    return txn.outcome;
 }
 
 void Acceptor::run() {
@@ -89,7 +97,7 @@
         std::this_thread::sleep_for(gather_time);
         const auto batch = gather();
         if (batch.empty()) continue;
-        write(batch);
+        if (write(batch) == app::Outcome::invalid && batch.size() > 1) alone_ = batch.size();
         bool again = false;
         {
             const std::lock_guard lock(mutex_);
--- a/src/app/acceptor.hpp
+++ b/src/app/acceptor.hpp
@@ -39,7 +39,7 @@
     using Batch = std::vector<std::shared_ptr<Entry>>;
 
     Batch gather();
-    void write(const Batch& batch);
+    app::Outcome write(const Batch& batch);
     void settle(const Batch& batch, const Txn& txn);
 
     StateStore& store_;
@@ -48,6 +48,7 @@
     std::condition_variable wanted_;
     std::condition_variable settled_;
     std::deque<std::shared_ptr<Entry>> waiting_;
+    std::size_t alone_ = 0;  // so many entries are written one by one
 };
 
 }  // namespace bendspindle::app
--- a/src/app/cloud_desk.cpp
+++ b/src/app/cloud_desk.cpp
@@ -25,8 +25,8 @@
 
 }  // namespace
 
-CloudDesk::CloudDesk(Office& office, const Settings& settings)
-    : office_(office), client_(settings.cloud, call_limit) {
+CloudDesk::CloudDesk(Office& office, const Settings& settings, std::function<bool()> may_act)
+    : office_(office), client_(settings.cloud, call_limit), may_act_(std::move(may_act)) {
     // All controllers read the catalog, one does the rest; a tenth is left free.
     spacing_ = duration_cast<Clock::duration>(
         std::chrono::duration<double>(1.1 / settings.cloud_requests_per_s));
@@ -73,6 +73,7 @@
 void CloudDesk::rent(const core::RentRequest& request, std::uint64_t epoch) {
     for (int i = 0; i < rent_tries; ++i) {
         pace();
+        if (!may_act_()) return;
         const auto answer = client_.post(wire::path::machines, wire::rent_body(request));
         std::vector<std::string> names;
         if (answer && answer->status == 200) {
@@ -92,8 +93,13 @@
     }
 }
 
-void CloudDesk::release(const std::vector<std::string>& names, std::uint64_t epoch) {
+void CloudDesk::release(const core::RentPlan& plan, std::uint64_t epoch) {
     pace();
+    // Guard against machines returned under another controller: one that had stood still for 20 s
+    // went on with the plan it had in hand and returned 63 that its successor had work on. What
+    // must be gone because it was cancelled goes even so.
+    const auto& names = may_act_() ? plan.release : plan.overdue;
+    if (names.empty()) return;
     const auto answer = client_.post(wire::path::release, wire::release_body(names));
     if (!answer || answer->status != 200) return;
     spdlog::info("released {} machines, first {}", names.size(), names.front());
@@ -119,7 +125,7 @@
             }
         }
         // What frees tasks for placing anew goes before what adds room.
-        if (!plan.release.empty()) release(plan.release, epoch);
+        if (!plan.release.empty()) release(plan, epoch);
         for (const auto& request : plan.rent) rent(request, epoch);
         if (acting && Clock::now() >= next_list_) {
             next_list_ = Clock::now() + list_every_;
--- a/src/app/cloud_desk.hpp
+++ b/src/app/cloud_desk.hpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <deque>
+#include <functional>
 #include <vector>
 
 #include "app/office.hpp"
@@ -15,7 +16,8 @@
 
 class CloudDesk {
   public:
-    CloudDesk(Office& office, const Settings& settings);
+    // `may_act`: whether no other controller can act yet.
+    CloudDesk(Office& office, const Settings& settings, std::function<bool()> may_act);
     // Runs until the process ends.
     void run();
 
@@ -24,11 +26,12 @@
     void read_catalog();
     void read_list();
     void rent(const core::RentRequest& request, std::uint64_t epoch);
-    void release(const std::vector<std::string>& names, std::uint64_t epoch);
+    void release(const core::RentPlan& plan, std::uint64_t epoch);
     void pace();
 
     Office& office_;
     io::HttpClient client_;
+    std::function<bool()> may_act_;
     Clock::duration spacing_;
     Clock::duration list_every_;
     Clock::time_point next_call_{};
--- a/src/app/membership.cpp
+++ b/src/app/membership.cpp
@@ -25,7 +25,7 @@
 constexpr milliseconds judgement_margin{150};
 constexpr double renewals_a_lease = 4;
 // Beyond the rest of its own lease, which nobody may take before it ends.
-constexpr milliseconds give_way{2000};
+constexpr milliseconds others_first{2000};
 
 }  // namespace
 
@@ -84,10 +84,11 @@
 void Membership::renew() {
     const auto sent = Clock::now();
     std::optional<std::uint64_t> lease;
+    std::optional<std::uint64_t> held;
     {
         const std::lock_guard lock(mutex_);
         if (sent < next_renewal_ || resigned_) return;
-        lease = lease_;
+        lease = held = lease_;
     }
     const auto life = duration_cast<milliseconds>(lease_time_);
     if (!lease) {
@@ -117,7 +118,8 @@
         }
     }
     const std::lock_guard lock(mutex_);
-    if (resigned_) return;
+    // Given up while it was being renewed.
+    if (resigned_ || lease_ != held) return;
     lease_ = lease;
     // The service counts from when it got the request; from its sending is the safe side.
     valid_until_ =
@@ -167,14 +169,13 @@
             break;
         case Succession::take:
         case Succession::come_back:
-            if (Clock::now() >= giving_way_until_)
-                take_over(key, parsed, parsed ? view.entry.stamp : 0, self);
+            if (!giving_way()) take_over(key, parsed, parsed ? view.entry.stamp : 0, self);
             return;
         case Succession::give_way:
             spdlog::error("ended {} times soon after taking the role; others go first",
                           parsed->returns);
             gave_way_ = true;
-            giving_way_until_ = Clock::now() + duration_cast<milliseconds>(lease_time_) + give_way;
+            let_others_go_first();
             return;
     }
     if (!parsed) return;
@@ -187,6 +188,16 @@
     }
 }
 
+bool Membership::giving_way() const {
+    const std::lock_guard lock(mutex_);
+    return Clock::now() < giving_way_until_;
+}
+
+void Membership::let_others_go_first() {
+    const std::lock_guard lock(mutex_);
+    giving_way_until_ = Clock::now() + duration_cast<milliseconds>(lease_time_) + others_first;
+}
+
 void Membership::take_over(const std::optional<StewardKey>& former,
                            const std::optional<wire::ViewRecord>& view, std::uint64_t view_stamp,
                            const Candidate& self) {
@@ -212,7 +223,7 @@
     {
         const std::lock_guard lock(mutex_);
         // The lease that holds the key has been given up meanwhile.
-        if (resigned_) return;
+        if (resigned_ || lease_ != self.lease) return;
         standing_ = {next.epoch, name_, true, txn.revision};
         steward_seen_ = txn.revision;
         // Guard: the life before may have ended before it ended the lease of its own former life.
@@ -311,6 +322,18 @@
     }
 }
 
+void Membership::give_way() {
+    let_others_go_first();
+    std::optional<std::uint64_t> lease;
+    {
+        const std::lock_guard lock(mutex_);
+        lease = lease_;
+    }
+    step_down();
+    // Unanswered, it ends by itself: nobody renews it.
+    if (lease) store_.revoke(*lease);
+}
+
 void Membership::resign() {
     std::optional<std::uint64_t> lease;
     {
--- a/src/app/membership.hpp
+++ b/src/app/membership.hpp
@@ -39,6 +39,8 @@
     void watch();
     // Acts no more and gives the lease up, so that another controller acts at once. For good.
     void resign();
+    // The same for a while: if nobody else acts, this controller does again.
+    void give_way();
 
     Standing standing() const;
     // Whether no other controller can act yet, judged by this one's own clock.
@@ -65,6 +67,8 @@
     void end_former_lease();
     void record_progress();
     void step_down();
+    bool giving_way() const;
+    void let_others_go_first();
 
     StateStore& store_;
     const std::string name_;
--- a/src/app/recorder.cpp
+++ b/src/app/recorder.cpp
@@ -18,6 +18,7 @@
 constexpr milliseconds pause_after_refusal{150};
 constexpr milliseconds most_pause{1500};
 constexpr std::size_t most_bytes = 56 * 1024;
+constexpr std::chrono::seconds write_again{20};
 // The writer keeps to this share of the change budget; the rest is for leases and views.
 constexpr double budget_share = 0.8;
 
@@ -38,8 +39,15 @@
     // stamp, and a late write of this controller fails.
     batch.conditions.push_back({keys::steward, office_.steward_stamp});
     std::size_t bytes = 0;
-    for (auto& change : office_.controller->changes(limits_.txn_ops, Clock::now())) {
+    const auto now = Clock::now();
+    std::erase_if(unwritable_, [&](const auto& entry) { return entry.second <= now; });
+    const auto most = limits_.txn_ops + unwritable_.size() * 2;
+    for (auto& change : office_.controller->changes(most, now)) {
         using What = core::Change::What;
+        if (unwritable_.contains(change.id)) continue;
+        const std::size_t operations = change.what == What::finish_job && change.stamp != 0 ? 2 : 1;
+        const bool full = batch.operations.size() + operations > limits_.txn_ops;
+        if (!batch.changes.empty() && (full || alone_ > 0)) return batch;
         switch (change.what) {
             case What::put_job: {
                 auto record = wire::job_record(change.job);
@@ -84,6 +92,19 @@
     office_.want_place();
 }
 
+// Guard against a standstill of all writing: one record that the state service calls malformed, too
+// large perhaps, kept everything written with it from being recorded, for ever. The changes are
+// written one by one; what is refused alone waits, and the others go on.
+void Recorder::find_unwritable(const Batch& batch) {
+    if (batch.changes.size() > 1) {
+        alone_ = batch.changes.size();
+        return;
+    }
+    const auto& id = batch.changes.front().id;
+    spdlog::error("the state service calls the record of {} malformed; set aside for a while", id);
+    unwritable_[id] = Clock::now() + write_again;
+}
+
 // A condition did not hold: an earlier write whose answer was lost had been executed after all,
 // or another controller acts. Each record in question is read and its stamp taken over.
 void Recorder::read_back(const Batch& batch, const Txn& txn) {
@@ -146,6 +167,7 @@
                                                  (limits_.writes_per_s * budget_share)};
         may_write = Clock::now() + std::chrono::duration_cast<Clock::duration>(cost);
         const auto txn = store_.transact(batch.conditions, batch.operations);
+        if (alone_ > 0) --alone_;
         if (txn.outcome == Outcome::ok) {
             pause = pause_after_refusal;
             settle(batch, txn);
@@ -155,8 +177,10 @@
             read_back(batch, txn);
             continue;
         }
-        if (txn.outcome == Outcome::invalid)
-            spdlog::error("the state service calls a transaction malformed");
+        if (txn.outcome == Outcome::invalid) {
+            find_unwritable(batch);
+            continue;
+        }
         // Refused or unanswered: the same again after a pause with jitter, so that controllers
         // that come back from an outage together do not knock together.
         std::uniform_int_distribution<std::int64_t> jitter(0, pause.count());
--- a/src/app/recorder.hpp
+++ b/src/app/recorder.hpp
@@ -1,6 +1,9 @@
 // The one writer of records: gathers what several requests need into one transaction.
 #pragma once
 
+#include <map>
+#include <string>
+
 #include "app/membership.hpp"
 #include "app/office.hpp"
 #include "app/settings.hpp"
@@ -31,12 +34,16 @@
     };
     Batch gather();
     void settle(const Batch& batch, const Txn& txn);
+    void find_unwritable(const Batch& batch);
     void read_back(const Batch& batch, const Txn& txn);
 
     Office& office_;
     StateStore& store_;
     FinalCache& finals_;
     StateLimits limits_;
+    std::size_t alone_ = 0;  // so many changes are written one by one
+    // By id of job or name of machine, with when they are tried again.
+    std::map<std::string, std::chrono::steady_clock::time_point> unwritable_;
 };
 
 }  // namespace bendspindle::app
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds peer_limit{1500};
 constexpr milliseconds record_limit{2500};  // users give up after 5 s
 constexpr seconds health_memory{6};
+// The one that acts speaks each second, the state service is asked each second.
+constexpr milliseconds own_trouble{2500};
 constexpr milliseconds least_between_cycles{250};
 constexpr milliseconds load_retry{300};
 constexpr milliseconds announce_every{1000};
@@ -27,11 +29,6 @@
 constexpr milliseconds look_for_stop{250};
 constexpr milliseconds stop_step{20};
 constexpr milliseconds longest_stop{3000};
-// A worker back within this time has not reached the controller it was sent to.
-constexpr seconds redirect_memory{15};
-// After this long its reports are no longer handed on; it is sent there again.
-constexpr seconds redirect_again{40};
-constexpr std::size_t most_redirects = 2000;
 
 Reply busy(const std::string& why, int retry_after = 1) {
     return {503, retry_after, wire::error_body(why)};
@@ -51,13 +48,19 @@
                    [this] { stand_down(); }}),
       recorder_(office_, store_, finals_, settings_.state_limits),
       acceptor_(store_, settings_.state_limits),
-      cloud_(office_, settings_),
-      courier_(office_) {
+      cloud_(office_, settings_, [this] { return membership_.lease_valid(); }),
+      courier_(office_),
+      visits_(settings_.workers.report),
+      reach_(settings_.workers.report) {
     for (const auto& sibling : settings_.siblings)
         siblings_[sibling.name] = std::make_unique<io::PeerClient>(sibling.endpoint, peer_limit);
 }
 
 void Service::take_over(std::uint64_t epoch, std::uint64_t steward_stamp) {
+    {
+        const std::lock_guard lock(reach_mutex_);
+        reach_.begin(Clock::now());
+    }
     // Loading runs beside the renewal of the lease, which this thread must not hold up.
     std::thread([this, epoch, steward_stamp, log = TakeoverLog(Clock::now())]() mutable {
         std::unique_ptr<core::Controller> controller;
@@ -88,9 +91,13 @@
     for (const auto& entry : machines.entries) {
         const auto name = entry.key.substr(std::string("machine/").size());
         const auto machine = wire::parse_machine_record(name, entry.value);
+        // Guard against nobody acting for ever: one record that could not be read kept each
+        // controller in turn from taking over. A machine without a readable record is asked back
+        // once it shows itself (`Fleet::watch`); its record stays as it is.
         if (!machine) {
-            spdlog::error("record {} cannot be read", entry.key);
-            return std::nullopt;
+            spdlog::error("record {} cannot be read; set aside", entry.key);
+            controller.load_unreadable_machine(name, entry.stamp, now);
+            continue;
         }
         controller.load_machine(*machine, entry.stamp, now);
     }
@@ -99,9 +106,11 @@
     std::vector<std::pair<core::JobRecord, std::uint64_t>> records;
     for (const auto& entry : jobs.entries) {
         auto record = wire::parse_job_record(entry.value);
+        // It stays as it is and its user is told so; all others go on.
         if (!record) {
-            spdlog::error("record {} cannot be read", entry.key);
-            return std::nullopt;
+            spdlog::error("record {} cannot be read; set aside", entry.key);
+            controller.set_aside(entry.key.substr(std::string(keys::jobs).size()));
+            continue;
         }
         records.emplace_back(std::move(*record), entry.stamp);
     }
@@ -245,6 +254,8 @@
         lock.unlock();
         return accept_elsewhere(*parsed.job);
     }
+    // Guard against overwriting what another version may be able to read.
+    if (office_.controller->aside(id)) return busy("the record cannot be read", 5);
     const auto verdict = office_.controller->check(*parsed.job);
     if (verdict == core::Verdict::not_ready) return busy("machine types are not known yet");
     if (verdict == core::Verdict::never_fits && !office_.controller->knows(id)) {
@@ -335,6 +346,10 @@
         membership_.suspect(report->token);
         return busy("another controller acts");
     }
+    {
+        const std::lock_guard lock(reach_mutex_);
+        reach_.heard(report->machine, from == From::sibling, Clock::now());
+    }
     const std::lock_guard lock(office_.mutex);
     // While records are loaded the lease of the worker lives on, and its token rises.
     if (!office_.controller) return {200, 0, wire::orders_body(standing.epoch, {})};
@@ -364,17 +379,13 @@
     if (report.token > standing.epoch) membership_.suspect(report.token);
     if (standing.steward.empty() || report.token > standing.epoch)
         return {503, 0, wire::error_body("no view")};
-    const auto now = Clock::now();
-    bool back = false;
+    const bool knows_steward = report.token == standing.epoch;
+    bool there = false;
     {
-        const std::lock_guard lock(redirects_mutex_);
-        if (redirects_.size() > most_redirects) redirects_.clear();
-        auto& redirect = redirects_[report.machine];
-        back = now - redirect.last < redirect_memory && now - redirect.first < redirect_again;
-        if (!back) redirect.first = now;
-        redirect.last = now;
+        const std::lock_guard lock(visits_mutex_);
+        there = visits_.send_there(report.machine, knows_steward, Clock::now());
     }
-    if (!back) return {421, 0, wire::redirect_body(standing.steward)};
+    if (there) return {421, 0, wire::redirect_body(standing.steward)};
     // The worker cannot reach the acting controller: its report is handed on.
     if (auto reply = hand_on(wire::peer::Op::report, report.machine, body);
         reply && reply->status == 200)
@@ -398,6 +409,7 @@
             reply = report(request.body, From::sibling);
             break;
         case wire::peer::Op::view:
+            if (request.epoch >= membership_.standing().epoch) steward_spoke_ = Clock::now();
             membership_.heard(request.epoch, request.id);
             reply.status = 200;
             break;
@@ -410,26 +422,42 @@
 bool Service::healthy() const {
     if (!office_.knows_types()) return false;
     const auto now = Clock::now();
+    // Guard against users held by a controller that can accept nothing: the one that acts has the
+    // state service and says so, this one has it not. In an outage for all nobody says so.
+    if (now - store_.last_ok() > own_trouble && now - steward_spoke_.load() < own_trouble)
+        return false;
     return now - store_.last_ok() < health_memory ||
            now - last_sibling_answer_.load() < health_memory;
 }
 
 // Tells siblings who acts, so that a former controller that the state service refuses, or that is
-// slow to notice, steps back before workers lose time with it.
+// slow to notice, steps back before workers lose time with it. Said only with a valid lease: it is
+// also the word that the state service answers.
 void Service::announce() {
     for (;;) {
         const auto standing = membership_.standing();
-        if (standing.acting)
+        if (standing.acting && membership_.lease_valid())
             for (auto& [name, sibling] : siblings_)
                 if (const auto answer = sibling->call(
                         {wire::peer::Op::view, standing.epoch, settings_.name, {}})) {
                     last_sibling_answer_ = Clock::now();
                     if (answer->epoch > standing.epoch) membership_.suspect(answer->epoch);
                 }
+        if (standing.acting) give_way_if_unreached();
         std::this_thread::sleep_for(announce_every);
     }
 }
 
+void Service::give_way_if_unreached() {
+    {
+        const std::lock_guard lock(reach_mutex_);
+        if (!reach_.lost(Clock::now())) return;
+        reach_.begin(Clock::now());
+    }
+    spdlog::info("workers reach siblings only; another controller may act");
+    membership_.give_way();
+}
+
 // Where the time until each start went, for those who want to know: at debug level.
 void Service::tell_starts(core::Controller& controller) {
     for (const auto& s : controller.take_started())
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -7,7 +7,6 @@
 #include <mutex>
 #include <optional>
 #include <string>
-#include <unordered_map>
 
 #include "app/acceptor.hpp"
 #include "app/cloud_desk.hpp"
@@ -17,6 +16,7 @@
 #include "app/recorder.hpp"
 #include "app/settings.hpp"
 #include "app/state_store.hpp"
+#include "app/visits.hpp"
 #include "io/http_server.hpp"
 #include "io/peer_link.hpp"
 
@@ -69,6 +69,7 @@
     void place();
     static void tell_starts(core::Controller& controller);
     void announce();
+    void give_way_if_unreached();
     void stop_when_asked(io::HttpServer& http);
 
     Settings settings_;
@@ -83,13 +84,12 @@
     Courier courier_;
     std::map<std::string, std::unique_ptr<io::PeerClient>> siblings_;
     std::atomic<Clock::time_point> last_sibling_answer_{Clock::time_point{}};
-    // Workers that came back although they had been sent to the acting controller.
-    struct Redirect {
-        Clock::time_point first{};
-        Clock::time_point last{};
-    };
-    std::mutex redirects_mutex_;
-    std::unordered_map<std::string, Redirect> redirects_;
+    std::mutex visits_mutex_;
+    Visits visits_;
+    // Through which of them the acting controller hears of workers.
+    std::mutex reach_mutex_;
+    Reach reach_;
+    std::atomic<Clock::time_point> steward_spoke_{Clock::time_point{}};
 };
 
 }  // namespace bendspindle::app
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -16,6 +16,7 @@
 constexpr std::uint32_t most_tasks = 100'000;
 constexpr double most_amount = 1e9;
 constexpr std::size_t longest_name = 200;
+constexpr std::size_t most_types_text = 4096;
 constexpr std::size_t most_ranges = 1500;
 
 // Builds the document, but gives up on nesting that no message of ours has: the parser recurses,
@@ -189,9 +190,13 @@
     spec.image_gb = amount(m, "pull_gb");
     if (!absent(m, "builds")) {
         std::vector<std::string> types;
+        std::size_t length = 0;
         for (const auto& type : list(m, "builds")) {
             if (!type.is_string()) throw Malformed{"builds holds what is not text"};
             types.push_back(type.get<std::string>());
+            length += types.back().size() + 3;
+            // Guard against a record too large for the state service: it could never be written.
+            if (length > most_types_text) throw Malformed{"builds is too long"};
         }
         spec.types = std::move(types);
     }
