Scenarios of standing still, machines that do not hear, mistaken jobs, late copies

The scenario world learns machines whose reports arrive and that no answer or call reaches, jobs that fail everywhere, a controller that stands still while its clocks run on, records that cannot be read. Reports of machines that are gone are now really delivered (report_of_a_released_machine passed without any). Tests of the way of workers to who acts, of giving way, of records that are called malformed. The time of the last message is kept apart from the one that patience is judged by: after a standstill machines were taken for such that do not hear.

--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -151,13 +151,13 @@
         // Its lease ran out for want of answers while its reports came all the time, each of them
         // answered: it is heard and does not hear.
         const bool heard_throughout = machine.confirmed && machine.session != 0 &&
-                                      between(machine.last_report, now) < config_.workers.lease / 2;
+                                      between(machine.heard_at, now) < config_.workers.lease / 2;
         if (heard_throughout && !machine.deaf_since) machine.deaf_since = now;
     }
     if (!machine.heard_since) machine.heard_since = now;
     machine.session = report.session;
     machine.seq = report.seq;
-    machine.last_report = now;
+    machine.last_report = machine.heard_at = now;
     machine.reported = true;
     if (report.notice && !machine.taken_at) machine.taken_at = later(now, *report.notice);
     if (!report.notice) machine.taken_at.reset();
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -61,7 +61,8 @@
     std::uint64_t session = 0;
     std::uint64_t seq = 0;
     TimePoint first_seen{};
-    TimePoint last_report{};
+    TimePoint last_report{};  // or later, where this controller itself stood still
+    TimePoint heard_at{};     // its last message, for certain
     TimePoint idle_since{};
     TimePoint loaded_at{};
     std::optional<TimePoint> unwanted_since;  // planning has had no use for it
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -58,6 +58,29 @@
     EXPECT_TRUE(second->standing().acting);
 }
 
+// Guard: the one that workers cannot reach hands the role over, and takes it back if nobody else can.
+TEST_F(Lives, OneThatGivesWayLetsASiblingActAndActsAgainIfNobodyDoes) {
+    const auto first = begun("a", 1s);
+    const auto sibling = begun("b", 1s);
+    first->give_way();
+    EXPECT_FALSE(first->standing().acting);
+    EXPECT_FALSE(first->lease_valid());
+    EXPECT_EQ(deposed_, 1);
+    first->round(true);  // its turn is not now
+    EXPECT_FALSE(first->standing().acting);
+    sibling->round(true);
+    EXPECT_TRUE(sibling->standing().acting);
+    EXPECT_EQ(sibling->standing().epoch, 2U);
+    // Alone, it goes on once others have had their turn.
+    sibling->give_way();
+    const auto until = Clock::now() + 10s;
+    while (!first->standing().acting && Clock::now() < until) {
+        first->round(true);
+        std::this_thread::sleep_for(50ms);
+    }
+    EXPECT_TRUE(first->standing().acting);
+}
+
 TEST_F(Lives, AFormerLifeThatWakesActsNoMoreAndTakesNothingBack) {
     const auto elder = begun("a", 1s);
     const auto younger = begun("a", 60s);
--- /dev/null
+++ b/tests/recorder_test.cpp
@@ -0,0 +1,97 @@
+// Writing records, against a stand-in of the state service that calls some of them malformed.
+#include "app/recorder.hpp"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <thread>
+
+#include "app/acceptor.hpp"
+#include "standin/services.hpp"
+
+namespace bendspindle::app {
+namespace {
+
+using namespace std::chrono_literals;
+using Clock = std::chrono::steady_clock;
+
+constexpr StateLimits limits{500, 500, 32, 12};
+
+core::JobSpec job(const std::string& id) {
+    core::JobSpec spec;
+    spec.id = id;
+    spec.team = "red";
+    spec.need = {1, 0, 1};
+    return spec;
+}
+
+// What a writing thread uses lives as long as the process, as in the service.
+struct Writing {
+    explicit Writing(int port) : service(port), store({"127.0.0.1", port}) {}
+    standin::StateService service;
+    StateStore store;
+    Office office;
+    FinalCache finals{100};
+    Recorder recorder{office, store, finals, limits};
+    Acceptor acceptor{store, limits};
+};
+
+Writing& writing() {
+    static auto* all = [] {
+        auto* made = new Writing(35000 + static_cast<int>(::getpid() % 2000));
+        std::thread([made] { made->recorder.run(); }).detach();
+        std::thread([made] { made->acceptor.run(); }).detach();
+        return made;
+    }();
+    return *all;
+}
+
+// Guard: one record that the service calls malformed kept all others from being written, for ever.
+TEST(Recorder, WritesTheOthersWhenOneIsCalledMalformed) {
+    auto& w = writing();
+    w.service.refuse("job/job-2");
+    const auto lease = w.store.grant(60s);
+    ASSERT_TRUE(lease);
+    const auto steward = w.store.transact({}, {{keys::steward, wire::Value{{"name", "a"}}, lease}});
+    {
+        const std::lock_guard lock(w.office.mutex);
+        core::Config config;
+        config.zones = {"a"};
+        config.teams = {{"red", {}, {}}};
+        w.office.install(std::make_unique<core::Controller>(config, 1), steward.revision);
+        for (const auto* id : {"job-1", "job-2", "job-3", "job-4"})
+            w.office.controller->accept(job(id), core::WallTime{}, Clock::now());
+        w.office.want_write();
+    }
+    std::unique_lock lock(w.office.mutex);
+    const bool written = w.office.recorded.wait_for(lock, 10s, [&] {
+        return w.office.controller->durable("job-1") && w.office.controller->durable("job-3") &&
+               w.office.controller->durable("job-4");
+    });
+    EXPECT_TRUE(written);
+    EXPECT_FALSE(w.office.controller->durable("job-2"));
+    w.office.controller.reset();
+}
+
+TEST(Acceptor, AcceptsTheOthersWhenOneIsCalledMalformed) {
+    auto& w = writing();
+    w.service.refuse("job/job-6");
+    std::vector<std::thread> users;
+    std::map<std::string, Acceptor::Outcome> outcomes;
+    std::mutex mutex;
+    for (const auto* id : {"job-5", "job-6", "job-7"})
+        users.emplace_back([&, id] {
+            core::JobRecord record;
+            record.spec = job(id);
+            const auto outcome = w.acceptor.accept(std::move(record));
+            const std::lock_guard lock(mutex);
+            outcomes[id] = outcome;
+        });
+    for (auto& user : users) user.join();
+    EXPECT_EQ(outcomes["job-5"], Acceptor::Outcome::accepted);
+    EXPECT_EQ(outcomes["job-6"], Acceptor::Outcome::failed);
+    EXPECT_EQ(outcomes["job-7"], Acceptor::Outcome::accepted);
+}
+
+}  // namespace
+}  // namespace bendspindle::app
--- a/tests/standin/services.cpp
+++ b/tests/standin/services.cpp
@@ -133,6 +133,9 @@
         const auto stamp = it == items_.end() ? 0 : it->second.stamp;
         if (stamp != condition["stamp"].get<std::uint64_t>()) failed.push_back(condition["path"]);
     }
+    for (const auto& operation : (*body)["apply"])
+        if (!refused_.empty() && operation.value("put", std::string()) == refused_)
+            return answer(response, 400, {{"error", "too large"}});
     for (const auto& operation : (*body)["apply"])
         if (operation.contains("loan") && !leases_.contains(operation["loan"].get<std::uint64_t>()))
             return answer(response, 400, {{"error", "no such lease"}});
--- a/tests/standin/services.hpp
+++ b/tests/standin/services.hpp
@@ -22,6 +22,11 @@
   public:
     explicit StateService(int port);
     ~StateService();
+    // Calls every transaction malformed that puts this key, as one with too large a value.
+    void refuse(const std::string& key) {
+        const std::lock_guard lock(mutex_);
+        refused_ = key;
+    }
 
   private:
     using Clock = std::chrono::steady_clock;
@@ -43,6 +48,7 @@
     std::uint64_t next_lease_ = 0;
     std::map<std::string, Item> items_;
     std::map<std::uint64_t, Lease> leases_;
+    std::string refused_;
     std::map<std::string, std::uint64_t> deleted_;  // by key: the revision of its deletion
     std::atomic<bool> ending_{false};
     httplib::Server server_;
--- a/tests/standin/worker.hpp
+++ b/tests/standin/worker.hpp
@@ -39,6 +39,7 @@
     double last_answered = 0;
     double next_report = 0;
     bool reachable = true;  // its reports reach the controllers, and answers come back
+    bool deaf = false;      // its reports arrive; no answer and no call reaches it
     bool hung = false;
     bool dead = false;
     bool faulty = false;
@@ -68,7 +69,7 @@
         });
     }
 
-    void execute(const core::Order& order, double run, double fetch, double save) {
+    void execute(const core::Order& order, double run, double fetch, double save, bool mistaken) {
         const auto it = std::find_if(tasks.begin(), tasks.end(), [&](const Task& t) {
             return t.job == order.job && t.index == order.index && t.attempt == order.attempt;
         });
@@ -85,7 +86,7 @@
                 if (holds(order.job, order.index)) {
                     t.state = core::TaskState::exited;
                     t.cause = core::ExitCause::busy;
-                } else if (faulty) {
+                } else if (faulty || mistaken) {
                     t.state = core::TaskState::exited;
                     t.cause = core::ExitCause::error;
                 }
--- a/tests/standin/world.cpp
+++ b/tests/standin/world.cpp
@@ -63,11 +63,23 @@
 void World::take_over() {
     controller_ = std::make_unique<core::Controller>(config_, ++epoch_);
     if (catalog_) controller_->set_types(types_);
-    for (const auto& [name, record] : records_)
-        controller_->load_machine(record.first, record.second, at());
+    for (const auto& [name, record] : records_) {
+        if (unreadable_.contains(name))
+            controller_->load_unreadable_machine(name, record.second, at());
+        else
+            controller_->load_machine(record.first, record.second, at());
+    }
     for (const auto& [id, record] : jobs_) controller_->load_job(record.first, record.second, at());
 }
 
+// The controller does nothing while its clocks and everybody else go on; then it goes on where it was.
+void World::stand_still(double seconds) {
+    auto still = std::move(controller_);
+    const double until = now_ + seconds;
+    while (now_ < until - 1e-9) step();
+    controller_ = std::move(still);
+}
+
 void World::write_records() {
     if (!controller_ || !state_up_) return;
     const auto changes = controller_->changes(48, at());
@@ -121,7 +133,7 @@
     if (!controller_) return;
     const auto answer = controller_->report(report, at());
     note_orders(worker.name, answer.orders);
-    if (!answered || !answer.entitled) return;
+    if (!answered || !answer.entitled || worker.deaf) return;
     if (worker.slow_answer) {
         worker.slow_answer = false;
         worker.waits_until = now_ + 3.25;
@@ -163,7 +175,7 @@
         const bool cached = known && worker.images.contains(specs_[order.job].image);
         const double fetch = known && !cached ? specs_[order.job].image_gb : 0;
         const bool was = worker.holds(order.job, order.index);
-        worker.execute(order, run, fetch, save);
+        worker.execute(order, run, fetch, save, mistaken_.contains(order.job));
         if (order.verb == core::Order::Verb::start && !was && worker.holds(order.job, order.index))
             started(order.job, order.index, worker);
     }
@@ -299,7 +311,8 @@
                 note_orders(due.machine, due.orders);
                 const auto worker = workers_.find(due.machine);
                 const bool reaches = worker != workers_.end() && worker->second.reachable &&
-                                     !worker->second.hung && !worker->second.dead;
+                                     !worker->second.deaf && !worker->second.hung &&
+                                     !worker->second.dead;
                 if (reaches && !worker->second.calls_held) {
                     call(due, true);
                     continue;
@@ -391,6 +404,14 @@
         must(controller_->machines().contains(words.at(2)) == (words.at(3) == "yes"));
     } else if (what == "released") {
         must(released_.contains(words.at(2)) == (words.at(3) == "yes"));
+    } else if (what == "released-at-most") {
+        must(released_.size() <= std::stoul(words.at(2)));
+    } else if (what == "recorded") {
+        must(records_.contains(words.at(2)) == (words.at(3) == "yes"));
+    } else if (what == "starts-at-most") {  // expect starts-at-most JOB N: tries of all its tasks
+        must(std::count_if(start_order_.begin(), start_order_.end(), [&](const auto& s) {
+                 return s.starts_with(words.at(2) + "/");
+             }) <= std::stol(words.at(3)));
     } else if (what == "verdict") {
         const auto verdict = controller_->check(specs_.at(words.at(2)));
         must((verdict == core::Verdict::fits) == (words.at(3) == "fits"));
@@ -476,6 +497,7 @@
         spec.spot = option(words, "spot", "no") == "yes";
         const double run = number(words, "run", 10);
         run_time_[spec.id] = run;
+        if (option(words, "mistaken", "no") == "yes") mistaken_.insert(spec.id);
         spec.estimate = Seconds(number(words, "estimate", run));
         spec.checkpoint = Seconds(number(words, "checkpoint", 0));
         spec.save_time = Seconds(number(words, "save", 0));
@@ -501,6 +523,12 @@
         while (now_ < until - 1e-9) step();
     } else if (verb == "cut" || verb == "heal") {
         workers_.at(words.at(1)).reachable = verb == "heal";
+    } else if (verb == "deafen" || verb == "undeafen") {
+        workers_.at(words.at(1)).deaf = verb == "deafen";
+    } else if (verb == "stand-still") {
+        stand_still(std::stod(words.at(1)));
+    } else if (verb == "unreadable-machine") {
+        unreadable_.insert(words.at(1));
     } else if (verb == "hang" || verb == "resume") {
         workers_.at(words.at(1)).hung = verb == "hang";
     } else if (verb == "notice") {
@@ -511,11 +539,10 @@
         workers_.at(words.at(1)).tasks.clear();
     } else if (verb == "hold-report") {
         // The report is made now and arrives later; its answer is lost.
-        held_reports_.push_back({words.at(1), workers_.at(words.at(1)).report()});
+        auto& worker = workers_.at(words.at(1));
+        held_reports_.push_back({worker, worker.report()});
     } else if (verb == "deliver-held") {
-        for (const auto& held : held_reports_)
-            if (workers_.contains(held.worker))
-                deliver(workers_.at(held.worker), held.report, false);
+        for (auto& held : held_reports_) deliver(held.worker, held.report, false);
         held_reports_.clear();
     } else if (verb == "lose-answer") {
         // A report is handled, but the worker gave up waiting: no order takes effect.
--- a/tests/standin/world.hpp
+++ b/tests/standin/world.hpp
@@ -26,7 +26,7 @@
   private:
     using Words = std::vector<std::string>;
     struct Held {
-        std::string worker;
+        Worker worker;  // as it was: the machine may be gone when its report arrives
         core::Report report;
     };
 
@@ -39,6 +39,7 @@
     void note(const std::string& decision) const;
     void call(const core::DirectCall& call, bool answered);
     void advance(Worker& worker, double dt);
+    void stand_still(double seconds);
     void write_records();
     void take_over();
     void check_rules();
@@ -62,6 +63,7 @@
     std::map<std::string, Worker> workers_;
     std::map<std::string, core::JobSpec> specs_;
     std::map<std::string, double> run_time_;
+    std::set<std::string> mistaken_;  // jobs that fail on every machine
     std::map<std::string, double> cancelled_at_;
     std::map<std::string, core::Final> told_;
     std::vector<Held> held_reports_;
@@ -84,6 +86,7 @@
     double boot_ = 5;
     std::vector<std::pair<double, Worker>> booting_;
     std::set<std::string> released_;
+    std::set<std::string> unreadable_;  // machines whose record makes no sense
     std::function<void(const std::string&)> decided_;
 };
 
