Connections that wait are bounded; polls do not outbid leases; a silent sibling rests

What is accepted and can't be served waits up to half of the sockets, the rest is turned away; a sibling that did not answer is left alone for a second; reading records for polls keeps to 0.6 of the request budget, split evenly; finals told by a sibling are kept.

--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -19,6 +19,10 @@
 constexpr milliseconds peer_limit{1500};
 constexpr milliseconds record_limit{2500};  // users give up after 5 s
 constexpr seconds health_memory{6};
+// Of the requests that the state service takes, for reading what users ask about.
+constexpr double share_for_polls = 0.6;
+// A sibling that did not answer is not tried again for this long.
+constexpr milliseconds sibling_rest{1000};
 // The one that acts speaks each second, the state service is asked each second.
 constexpr milliseconds own_trouble{2500};
 constexpr milliseconds least_between_cycles{250};
@@ -51,6 +55,9 @@
       cloud_(office_, settings_, [this] { return membership_.lease_valid(); }),
       courier_(office_),
       visits_(settings_.workers.report),
+      poll_reads_(std::max(settings_.state_limits.requests_per_s * share_for_polls /
+                               static_cast<double>(settings_.siblings.size() + 1),
+                           1.0)),
       reach_(settings_.workers.report) {
     for (const auto& sibling : settings_.siblings)
         siblings_[sibling.name] = std::make_unique<io::PeerClient>(sibling.endpoint, peer_limit);
@@ -179,8 +186,19 @@
     const auto standing = membership_.standing();
     const auto it = siblings_.find(standing.steward);
     if (it == siblings_.end()) return std::nullopt;
+    // Guard against all threads waiting for one that stands still: each poll did, for 1.5 s, while
+    // connections piled up until no socket was left.
+    {
+        const std::lock_guard lock(failed_mutex_);
+        const auto failed = failed_until_.find(it->first);
+        if (failed != failed_until_.end() && Clock::now() < failed->second) return std::nullopt;
+    }
     const auto answer = it->second->call({op, standing.epoch, id, body});
-    if (!answer) return std::nullopt;
+    if (!answer) {
+        const std::lock_guard lock(failed_mutex_);
+        failed_until_[it->first] = Clock::now() + sibling_rest;
+        return std::nullopt;
+    }
     last_sibling_answer_ = Clock::now();
     if (answer->epoch > standing.epoch) membership_.suspect(answer->epoch);
     return Reply{answer->status, answer->retry_after, answer->body};
@@ -192,6 +210,16 @@
     return Reply{200, 0, wire::status_body(id, final_status(*final), with_counts)};
 }
 
+// Guard against leases that end for a flood of questions: while nobody acts each poll reads records,
+// and the state service refused renewals and writes together with them.
+Reply Service::poll_records(const std::string& id) {
+    {
+        const std::lock_guard lock(reads_mutex_);
+        if (!poll_reads_.take(Clock::now())) return busy("too many questions at once");
+    }
+    return from_records(id, true);
+}
+
 // The records have the last word. The open record is read first: a job that ends between the two
 // reads is then found by the second.
 Reply Service::from_records(const std::string& id, bool with_counts) {
@@ -285,9 +313,12 @@
     if (auto reply = from_final(id, true)) return *reply;
     if (!membership_.standing().acting) {
         if (from == From::sibling) return busy("another controller acts");
-        if (auto reply = hand_on(wire::peer::Op::status, id, {}); reply && reply->status != 503)
+        if (auto reply = hand_on(wire::peer::Op::status, id, {}); reply && reply->status != 503) {
+            // Final for good: the next to ask here needs nobody else.
+            if (const auto final = wire::final_in_status(reply->body)) finals_.put(id, *final);
             return *reply;
-        return from_records(id, true);
+        }
+        return poll_records(id);
     }
     // Without the lease another controller may have told a newer state already.
     {
@@ -299,7 +330,7 @@
             if (office_.controller->knows(id)) return busy("the job is being recorded");
         }
     }
-    return from_records(id, true);
+    return poll_records(id);
 }
 
 Reply Service::cancel(const std::string& id, From from) {
@@ -516,6 +547,7 @@
 bool Service::run() {
     io::HttpServerLimits limits;
     limits.most_threads = most_connections(settings_, own_);
+    limits.most_waiting = most_waiting(settings_, limits.most_threads);
     io::HttpServer http(limits);
     const auto send = [](const Reply& reply, httplib::Response& response) {
         response.status = reply.status;
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "app/acceptor.hpp"
+#include "app/allowance.hpp"
 #include "app/cloud_desk.hpp"
 #include "app/courier.hpp"
 #include "app/membership.hpp"
@@ -48,6 +49,7 @@
                                  const std::string& body);
     std::optional<Reply> from_final(const std::string& id, bool with_counts);
     Reply from_records(const std::string& id, bool with_counts);
+    Reply poll_records(const std::string& id);
     template <typename Ready>
     bool wait_recorded(std::unique_lock<std::mutex>& lock, Ready ready);
 
@@ -87,6 +89,11 @@
     std::mutex visits_mutex_;
     Visits visits_;
     // Through which of them the acting controller hears of workers.
+    std::mutex reads_mutex_;
+    Allowance poll_reads_;
+    // Siblings of which a call has just failed, and until when none is tried.
+    std::mutex failed_mutex_;
+    std::map<std::string, Clock::time_point> failed_until_;
     std::mutex reach_mutex_;
     Reach reach_;
     std::atomic<Clock::time_point> steward_spoke_{Clock::time_point{}};
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -290,6 +290,12 @@
     return std::max<std::size_t>(std::min({own.threads, by_sockets, by_memory}), 1);
 }
 
+std::size_t most_waiting(const Settings& settings, std::size_t served) {
+    // Together half of the sockets; the rest is for calls out and for siblings.
+    const auto half = settings.most_sockets / 2;
+    return std::max<std::size_t>(half > served ? half - served : 0, 16);
+}
+
 core::Config core_config(const Settings& settings, const OperatorSettings& own) {
     core::Config config;
     config.name = settings.name;
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -70,6 +70,8 @@
 // Connections served at once, a thread each: what operators allow, the sockets and the memory of the
 // platform's settings permit.
 std::size_t most_connections(const Settings& settings, const OperatorSettings& own);
+// How many more may wait for one of `served` to end.
+std::size_t most_waiting(const Settings& settings, std::size_t served);
 core::Config core_config(const Settings& settings, const OperatorSettings& own);
 
 }  // namespace bendspindle::app
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -107,16 +107,28 @@
 
 }  // namespace
 
+thread_local bool GrowingPool::turning_away_ = false;
+
 void GrowingPool::enqueue(std::function<void()> fn) {
     bool grow = false;
+    bool turn_away = false;
     {
         const std::lock_guard lock(mutex_);
-        queue_.push_back(std::move(fn));
-        if (queue_.size() > idle_ && threads_ < most_) {
+        turn_away = queue_.size() >= most_waiting_;
+        if (!turn_away) queue_.push_back(std::move(fn));
+        if (!turn_away && queue_.size() > idle_ && threads_ < most_) {
             ++threads_;
             grow = true;
         }
     }
+    // Guard against a process without sockets of its own: connections that had piled up while it
+    // stood still took all of them, and it reached neither the state service nor a worker.
+    if (turn_away) {
+        turning_away_ = true;
+        fn();
+        turning_away_ = false;
+        return;
+    }
     if (!grow) {
         wake_.notify_one();
         return;
@@ -154,7 +166,7 @@
 }
 
 HttpServer::HttpServer(HttpServerLimits limits) : limits_(limits) {
-    new_task_queue = [most = limits_.most_threads] { return new GrowingPool(most); };
+    new_task_queue = [most = limits_.most_threads, waiting = limits_.most_waiting] { return new GrowingPool(most, waiting); };
     set_payload_max_length(limits_.most_body);
     set_keep_alive_max_count(1'000'000);
     set_keep_alive_timeout(limits_.idle.count());
@@ -173,6 +185,10 @@
 }
 
 bool HttpServer::process_and_close_socket(socket_t sock) {
+    if (GrowingPool::turning_away()) {
+        ::close(sock);
+        return true;
+    }
     const int on = 1;
     ::setsockopt(sock, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     ++open_;
--- a/src/io/http_server.hpp
+++ b/src/io/http_server.hpp
@@ -15,6 +15,7 @@
 
 struct HttpServerLimits {
     std::size_t most_threads = 200;
+    std::size_t most_waiting = 400;  // accepted, and no thread free
     std::chrono::seconds idle{75};
     std::chrono::seconds message{5};
     std::size_t most_body = 64 * 1024;
@@ -23,7 +24,10 @@
 // Threads are made when a connection finds none idle, up to a limit, and stay.
 class GrowingPool : public httplib::TaskQueue {
   public:
-    explicit GrowingPool(std::size_t most) : most_(most) {}
+    GrowingPool(std::size_t most, std::size_t most_waiting)
+        : most_(most), most_waiting_(most_waiting) {}
+    // Whether what runs now on this thread is to be turned away, since too much waits already.
+    static bool turning_away() { return turning_away_; }
     void enqueue(std::function<void()> fn) override;
     void shutdown() override;
 
@@ -34,7 +38,9 @@
     std::condition_variable wake_;
     std::condition_variable ended_;
     std::deque<std::function<void()>> queue_;
+    static thread_local bool turning_away_;
     std::size_t most_;
+    std::size_t most_waiting_;
     std::size_t threads_ = 0;
     std::size_t idle_ = 0;
     bool stopping_ = false;
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -338,12 +338,27 @@
 
 std::string job_body(const core::JobSpec& spec) { return to_cbor(spec_to(spec)); }
 
+namespace {
+constexpr const char* stage_done = "done";
+constexpr const char* stage_cancelled = "aborted";
+}  // namespace
+
+std::optional<core::Final> final_in_status(std::string_view body) {
+    const auto parsed = parse_cbor(body);
+    if (!parsed || !parsed->is_object()) return std::nullopt;
+    const auto stage = parsed->find("stage");
+    if (stage == parsed->end() || !stage->is_string()) return std::nullopt;
+    if (*stage == stage_done) return core::Final::done;
+    if (*stage == stage_cancelled) return core::Final::cancelled;
+    return std::nullopt;
+}
+
 std::string status_body(const std::string& id, const core::JobStatus& status, bool with_counts) {
     const char* stage = "queued";
     if (status.final == core::Final::done)
-        stage = "done";
+        stage = stage_done;
     else if (status.final == core::Final::cancelled)
-        stage = "aborted";
+        stage = stage_cancelled;
     else if (status.running > 0)
         stage = "running";
     Value m{{"uid", id}, {"stage", stage}};
--- a/src/wire/codec.hpp
+++ b/src/wire/codec.hpp
@@ -51,6 +51,8 @@
 ParsedJob parse_job(std::string_view body);
 std::string job_body(const core::JobSpec& spec);
 std::string status_body(const std::string& id, const core::JobStatus& status, bool with_counts);
+// The final state that such a body tells, if it tells one.
+std::optional<core::Final> final_in_status(std::string_view body);
 std::string error_body(const std::string& why);
 
 // Workers.
--- a/tests/visits_test.cpp
+++ b/tests/visits_test.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include "app/allowance.hpp"
+
 namespace bendspindle::app {
 namespace {
 
@@ -51,5 +53,16 @@
     EXPECT_FALSE(reach.lost(start + 90s));
 }
 
+TEST(Allowance, GivesARateAndASecondsWorthAtOnce) {
+    Allowance allowance(10);
+    int taken = 0;
+    for (int i = 0; i < 100; ++i) taken += allowance.take(start);
+    EXPECT_EQ(taken, 10);
+    for (int i = 1; i <= 100; ++i) taken += allowance.take(start + i * 10ms);
+    EXPECT_NEAR(taken, 20, 1);
+    for (int i = 0; i < 100; ++i) taken += allowance.take(start + 1h);
+    EXPECT_NEAR(taken, 30, 1);
+}
+
 }  // namespace
 }  // namespace bendspindle::app
