--- a/src/app/allowance.hpp
+++ b/src/app/allowance.hpp
@@ -1,4 +1,4 @@
-// So many a second, with what one second allows in hand at most. Pure: the time is passed in.
+// So many a second, with what some seconds allow in hand at most. Pure: the time is passed in.
 #pragma once
 
 #include <algorithm>
@@ -9,11 +9,12 @@
 
 class Allowance {
   public:
-    explicit Allowance(double per_second) : rate_(per_second), left_(per_second) {}
+    Allowance(double per_second, core::Seconds in_hand)
+        : rate_(per_second), most_(per_second * in_hand.count()), left_(most_) {}
     // Takes one if there is one.
     bool take(core::TimePoint now) {
         if (last_ != core::TimePoint{})
-            left_ = std::min(rate_, left_ + core::between(last_, now).count() * rate_);
+            left_ = std::min(most_, left_ + core::between(last_, now).count() * rate_);
         last_ = now;
         if (left_ < 1) return false;
         left_ -= 1;
@@ -22,6 +23,7 @@
 
   private:
     const double rate_;
+    const double most_;
     double left_;
     core::TimePoint last_{};
 };
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -20,7 +20,8 @@
 constexpr milliseconds record_limit{2500};  // users give up after 5 s
 constexpr seconds health_memory{6};
 // Of the requests that the state service takes, for reading what users ask about.
-constexpr double share_for_polls = 0.6;
+constexpr double share_for_polls = 0.85;
+constexpr seconds polls_in_hand{2};  // about a lease without anybody who acts, on a usual day
 // A sibling that did not answer is not tried again for this long.
 constexpr milliseconds sibling_rest{1000};
 // The one that acts speaks each second, the state service is asked each second.
@@ -59,7 +60,8 @@
       visits_(settings_.workers.report),
       poll_reads_(std::max(settings_.state_limits.requests_per_s * share_for_polls /
                                static_cast<double>(settings_.siblings.size() + 1),
-                           1.0)),
+                           1.0),
+                  polls_in_hand),
       reach_(settings_.workers.report) {
     for (const auto& sibling : settings_.siblings)
         siblings_[sibling.name] = std::make_unique<io::PeerClient>(sibling.endpoint, peer_limit);
--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -232,7 +232,6 @@
     placement.state = task.state;
     placement.since = placement.running_from = now;
     if (!wanted) Pipelines::stop(placement, Seconds{0});
-    job.begun = true;
     pipelines_.hold(machine, job, task.index, placement);
 }
 
@@ -476,7 +475,6 @@
         placement.in_flight = direct;
         placement.since = placement.ordered_at = now;
         job->waits_since.reset();
-        job->begun = true;
         ++counts_.starts;
         orders.push_back({Order::Verb::start, job->spec.id, index, placement.attempt, {}});
     }
--- a/src/core/job.hpp
+++ b/src/core/job.hpp
@@ -76,7 +76,6 @@
     // Was placed under a floor, and keeps it: a class whose job had just been started starved no
     // more, and the job was stopped again for those who had kept it waiting.
     bool floored = false;
-    bool begun = false;          // a start of one of its tasks has been ordered in this epoch
     bool started = false;        // all tasks of a gang, or one of an array, have run at once
     bool accepted_here = false;  // in this epoch: no older epoch can have started any of it
     Final final = Final::none;
--- a/src/core/placing.cpp
+++ b/src/core/placing.cpp
@@ -12,15 +12,6 @@
 
 // A job that has waited this long is owed its team's guarantee before urgent work of borrowers.
 constexpr Seconds owed_after{300};
-// An array of which nothing has been started for this long begins with so many tasks. Half of what
-// users wait for a first start: a takeover begins the count anew.
-constexpr Seconds begins_after{90};
-constexpr std::uint32_t first_tasks = 8;
-
-bool begins(const Job& job, TimePoint now) {
-    return job.spec.kind == Kind::array && !job.begun && job.placed.empty() && job.finished == 0 &&
-           job.waits_since && between(*job.waits_since, now) > begins_after;
-}
 
 }  // namespace
 
@@ -128,7 +119,7 @@
     return out;
 }
 
-void Placing::share_out(Snapshot& snapshot, const Standing& standing, TimePoint now) const {
+void Placing::share_out(Snapshot& snapshot, const Standing& standing) const {
     std::map<int, double> used;
     for (const auto& [serial, job] : pipelines_.all())
         if (!job->over() && !job->placed.empty())
@@ -141,10 +132,6 @@
     }
     const auto factors = admission::stretch(asking, used);
     for (std::size_t p = 0; p < factors.size(); ++p) snapshot.pipelines[p].stretch = factors[p];
-    // Guard against arrays of long tasks that begin only when the day's short ones are over: by
-    // makespan they came last in their rank for six minutes. Their first tasks go first in it.
-    for (std::size_t p = 0; p < snapshot.jobs.size(); ++p)
-        if (begins(*snapshot.jobs[p], now)) snapshot.pipelines[p].stretch = 0;
 }
 
 void Placing::see_jobs(Snapshot& snapshot, const Standing& standing, TimePoint now) const {
@@ -164,8 +151,7 @@
         pipeline.rank = standing.rank(*job);
         const bool floored = standing.floored(*job);
         pipeline.reserves = floored;
-        const auto most = begins(*job, now) ? std::min(room, first_tasks) : room;
-        pipeline.eligible.push_back(eligible(*job, std::min(idle, most), floored, snapshot));
+        pipeline.eligible.push_back(eligible(*job, std::min(idle, room), floored, snapshot));
         snapshot.pipelines.push_back(std::move(pipeline));
         snapshot.jobs.push_back(job.get());
     }
@@ -204,7 +190,7 @@
     see_machines(snapshot, now);
     see_jobs(snapshot, standing, now);
     if (snapshot.pipelines.empty()) return;
-    share_out(snapshot, standing, now);
+    share_out(snapshot, standing);
     const auto result = dsmf::place(snapshot.pipelines, snapshot.views, config_.cycle);
     bind(result, snapshot, standing, now);
     std::vector<Job*> waiting;
--- a/src/core/placing.hpp
+++ b/src/core/placing.hpp
@@ -46,7 +46,7 @@
     // Machines on which it has failed.
     std::vector<std::size_t> barred(const Job& job, const Snapshot& snapshot) const;
     // Stretches makespans where more is asked for than there is.
-    void share_out(Snapshot& snapshot, const Standing& standing, TimePoint now) const;
+    void share_out(Snapshot& snapshot, const Standing& standing) const;
     void bind(const dsmf::Result& result, const Snapshot& snapshot, Standing& standing,
               TimePoint now);
 
--- a/tests/visits_test.cpp
+++ b/tests/visits_test.cpp
@@ -54,7 +54,7 @@
 }
 
 TEST(Allowance, GivesARateAndASecondsWorthAtOnce) {
-    Allowance allowance(10);
+    Allowance allowance(10, 1s);
     int taken = 0;
     for (int i = 0; i < 100; ++i) taken += allowance.take(start);
     EXPECT_EQ(taken, 10);
