--- a/tests/cloud_desk_test.cpp
+++ b/tests/cloud_desk_test.cpp
@@ -43,7 +43,7 @@
 // Guard: a controller that had stood still went on with the plan it had in hand and returned
 // machines that its successor had work on.
 TEST(CloudDesk, ReturnsNothingWithoutAValidLease) {
-    auto& d = *new Desk(36000 + static_cast<int>(::getpid() % 2000));
+    auto& d = *new Desk(22000 + static_cast<int>(::getpid() % 1000));
     std::thread([&d] { d.desk.run(); }).detach();
     const auto until = Clock::now() + 3s;
     while (Clock::now() < until) {
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -13,7 +13,7 @@
 
 // Guard: connections that had piled up took every socket of the process.
 TEST(HttpServer, TurnsAwayWhatCanNotWait) {
-    const int port = 37000 + static_cast<int>(::getpid() % 2000);
+    const int port = 23000 + static_cast<int>(::getpid() % 1000);
     HttpServerLimits limits;
     limits.most_threads = 2;
     limits.most_waiting = 3;
--- a/tests/recorder_test.cpp
+++ b/tests/recorder_test.cpp
@@ -38,7 +38,7 @@
 
 Writing& writing() {
     static auto* all = [] {
-        auto* made = new Writing(35000 + static_cast<int>(::getpid() % 2000));
+        auto* made = new Writing(21000 + static_cast<int>(::getpid() % 1000));
         std::thread([made] { made->recorder.run(); }).detach();
         std::thread([made] { made->acceptor.run(); }).detach();
         return made;
