--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -87,7 +87,6 @@
     std::atomic<Clock::time_point> last_sibling_answer_{Clock::time_point{}};
     std::mutex visits_mutex_;
     Visits visits_;
-    // Through which of them the acting controller hears of workers.
     std::mutex reads_mutex_;
     Allowance poll_reads_;
     // Siblings of which a call has just failed, and until when none is tried.
@@ -95,6 +94,7 @@
     std::map<std::string, Clock::time_point> failed_until_;
     std::mutex reach_mutex_;
     Reach reach_;
+    // When the acting controller last said that it acts.
     std::atomic<Clock::time_point> steward_spoke_{Clock::time_point{}};
 };
 
