--- a/src/app/acceptor.cpp
+++ b/src/app/acceptor.cpp
@@ -107,8 +107,7 @@
         const std::chrono::duration<double> cost{static_cast<double>(batch.size()) /
                                                  (limits_.writes_per_s * budget_share)};
         std::this_thread::sleep_for(cost);
-        if (again)
-            std::this_thread::sleep_for(pause_after_refusal + milliseconds(jitter(random)));
+        if (again) std::this_thread::sleep_for(pause_after_refusal + milliseconds(jitter(random)));
     }
 }
 
--- a/src/app/cloud_desk.cpp
+++ b/src/app/cloud_desk.cpp
@@ -42,8 +42,7 @@
 void CloudDesk::read_catalog() {
     pace();
     const auto answer = client_.get(wire::path::catalog);
-    auto types = answer && answer->status == 200 ? wire::parse_catalog(answer->body)
-                                                       : std::nullopt;
+    auto types = answer && answer->status == 200 ? wire::parse_catalog(answer->body) : std::nullopt;
     if (!types || types->empty()) {
         next_catalog_ = Clock::now() + catalog_retry;
         return;
--- a/src/app/recorder.cpp
+++ b/src/app/recorder.cpp
@@ -22,7 +22,9 @@
 // The writer keeps to this share of the change budget; the rest is for leases and views.
 constexpr double budget_share = 0.8;
 
-std::size_t size_of(const wire::Value& value) { return wire::to_cbor(value).size() * 2 + 100; }
+std::size_t size_of(const wire::Value& value) {
+    return wire::to_cbor(value).size() * 2 + 100;
+}
 
 }  // namespace
 
@@ -83,8 +85,7 @@
 
 void Recorder::settle(const Batch& batch, const Txn& txn) {
     for (const auto& change : batch.changes)
-        if (change.what == core::Change::What::finish_job)
-            finals_.put(change.id, change.job.final);
+        if (change.what == core::Change::What::finish_job) finals_.put(change.id, change.job.final);
     const std::lock_guard lock(office_.mutex);
     if (!office_.controller || office_.controller->epoch() != batch.epoch) return;
     office_.controller->written(batch.changes, txn.revision, Clock::now());
@@ -156,8 +157,7 @@
     for (;;) {
         {
             std::unique_lock lock(office_.mutex);
-            office_.write_wanted.wait_for(lock, look_anyway,
-                                          [&] { return office_.write_pending; });
+            office_.write_wanted.wait_for(lock, look_anyway, [&] { return office_.write_pending; });
         }
         std::this_thread::sleep_for(gather_time);
         std::this_thread::sleep_until(may_write);
--- a/src/app/recorder.hpp
+++ b/src/app/recorder.hpp
@@ -13,9 +13,15 @@
 
 namespace keys {
 inline constexpr const char* jobs = "job/";
-inline std::string job(const std::string& id) { return "job/" + id; }
-inline std::string over(const std::string& id) { return "over/" + id; }
-inline std::string machine(const std::string& name) { return "machine/" + name; }
+inline std::string job(const std::string& id) {
+    return "job/" + id;
+}
+inline std::string over(const std::string& id) {
+    return "over/" + id;
+}
+inline std::string machine(const std::string& name) {
+    return "machine/" + name;
+}
 inline constexpr const char* steward = "steward";
 }  // namespace keys
 
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -38,7 +38,9 @@
     return {503, retry_after, wire::error_body(why)};
 }
 
-core::JobStatus final_status(core::Final final) { return core::JobStatus{final, 0, 0}; }
+core::JobStatus final_status(core::Final final) {
+    return core::JobStatus{final, 0, 0};
+}
 
 }  // namespace
 
@@ -121,9 +123,8 @@
         }
         records.emplace_back(std::move(*record), entry.stamp);
     }
-    std::sort(records.begin(), records.end(), [](const auto& a, const auto& b) {
-        return a.first.submitted < b.first.submitted;
-    });
+    std::sort(records.begin(), records.end(),
+              [](const auto& a, const auto& b) { return a.first.submitted < b.first.submitted; });
     for (const auto& [record, stamp] : records) controller.load_job(record, stamp, Clock::now());
     return jobs.revision;
 }
@@ -210,8 +211,8 @@
     return Reply{200, 0, wire::status_body(id, final_status(*final), with_counts)};
 }
 
-// Guard against leases that end for a flood of questions: while nobody acts each poll reads records,
-// and the state service refused renewals and writes together with them.
+// Guard against leases that end for a flood of questions: while nobody acts each poll reads
+// records, and the state service refused renewals and writes together with them.
 Reply Service::poll_records(const std::string& id) {
     {
         const std::lock_guard lock(reads_mutex_);
@@ -293,15 +294,16 @@
         if (reply.status == 404) return {422, 0, wire::error_body("the job can never run")};
         return reply;
     }
-    const bool fresh = office_.controller->accept(
-        *parsed.job, std::chrono::system_clock::now(), Clock::now());
+    const bool fresh =
+        office_.controller->accept(*parsed.job, std::chrono::system_clock::now(), Clock::now());
     wait_recorded(lock, [&] {
         return !office_.controller || !office_.controller->knows(id) ||
                office_.controller->durable(id);
     });
     if (office_.controller)
         if (const auto status = office_.controller->status(id))
-            return {fresh && !office_.controller->found(id) ? 201 : 200, 0, wire::status_body(id, *status, false)};
+            return {fresh && !office_.controller->found(id) ? 201 : 200, 0,
+                    wire::status_body(id, *status, false)};
     lock.unlock();
     // Over already, or the write has not come through: the cache or the user's retry tells.
     if (auto reply = from_final(id, false)) return *reply;
@@ -323,7 +325,8 @@
     // Without the lease another controller may have told a newer state already.
     {
         const std::lock_guard lock(office_.mutex);
-        // Looked at after the wait for the lock, not before: nothing blocks from here to the answer.
+        // Looked at after the wait for the lock, not before: nothing blocks from here to the
+        // answer.
         if (office_.controller && membership_.lease_valid()) {
             if (const auto status = office_.controller->status(id))
                 return {200, 0, wire::status_body(id, *status, true)};
@@ -355,8 +358,7 @@
     wait_recorded(lock, [&] {
         if (!office_.controller) return true;
         const auto status = office_.controller->status(id);
-        return !office_.controller->knows(id) ||
-               (status && status->final != core::Final::none);
+        return !office_.controller->knows(id) || (status && status->final != core::Final::none);
     });
     lock.unlock();
     if (auto reply = from_final(id, false)) return *reply;
@@ -445,9 +447,8 @@
             reply.status = 200;
             break;
     }
-    return {static_cast<std::uint16_t>(reply.status),
-            static_cast<std::uint16_t>(reply.retry_after), membership_.standing().epoch,
-            std::move(reply.body)};
+    return {static_cast<std::uint16_t>(reply.status), static_cast<std::uint16_t>(reply.retry_after),
+            membership_.standing().epoch, std::move(reply.body)};
 }
 
 bool Service::healthy() const {
@@ -469,8 +470,8 @@
         const auto standing = membership_.standing();
         if (standing.acting && membership_.lease_valid())
             for (auto& [name, sibling] : siblings_)
-                if (const auto answer = sibling->call(
-                        {wire::peer::Op::view, standing.epoch, settings_.name, {}})) {
+                if (const auto answer =
+                        sibling->call({wire::peer::Op::view, standing.epoch, settings_.name, {}})) {
                     last_sibling_answer_ = Clock::now();
                     if (answer->epoch > standing.epoch) membership_.suspect(answer->epoch);
                 }
@@ -492,11 +493,12 @@
 // Where the time until each start went, for those who want to know: at debug level.
 void Service::tell_starts(core::Controller& controller) {
     for (const auto& s : controller.take_started())
-        spdlog::debug("started {} of {} for {}, {} tasks, after {:.2f} s: record {:.2f}, room {:.2f}, {} "
-                      "{:.2f}, report {:.2f}, image {:.2f}",
-                      s.job, s.job_class, s.team, s.tasks, s.total().count(), s.record.count(),
-                      s.room.count(), s.stopped_others ? "stopping others" : "not stopping",
-                      s.saves.count(), s.report.count(), s.image.count());
+        spdlog::debug(
+            "started {} of {} for {}, {} tasks, after {:.2f} s: record {:.2f}, room {:.2f}, {} "
+            "{:.2f}, report {:.2f}, image {:.2f}",
+            s.job, s.job_class, s.team, s.tasks, s.total().count(), s.record.count(),
+            s.room.count(), s.stopped_others ? "stopping others" : "not stopping", s.saves.count(),
+            s.report.count(), s.image.count());
 }
 
 void Service::place() {
@@ -516,8 +518,7 @@
             office_.controller->cycle(Clock::now());
             calls = office_.controller->direct_calls(Clock::now());
             tell_starts(*office_.controller);
-            if (office_.takeover_log)
-                office_.takeover_log->look(*office_.controller, Clock::now());
+            if (office_.takeover_log) office_.takeover_log->look(*office_.controller, Clock::now());
             if (office_.takeover_log && office_.takeover_log->progressed(Clock::now()))
                 membership_.made_progress();
         }
@@ -578,12 +579,11 @@
         if (response.status == 413) response.status = 400;
         const auto& path = request.path;
         // An id may be any text: asked for in the right way, it is unknown, not a wrong method.
-        const bool asked = path.starts_with("/work/") &&
-                           (request.method == "GET" ||
-                            (request.method == "POST" && path.ends_with("/cancel")));
+        const bool asked =
+            path.starts_with("/work/") &&
+            (request.method == "GET" || (request.method == "POST" && path.ends_with("/cancel")));
         const bool known = path == wire::path::work || path == wire::path::report ||
-                           path == wire::path::health ||
-                           (path.starts_with("/work/") && !asked);
+                           path == wire::path::health || (path.starts_with("/work/") && !asked);
         if (response.status == 404 && known) response.status = 405;
         response.set_content(wire::error_body("not served"), cbor);
     });
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -45,8 +45,7 @@
     Reply accept_elsewhere(const core::JobSpec& spec);
     Reply status(const std::string& id, From from);
     Reply cancel(const std::string& id, From from);
-    std::optional<Reply> hand_on(wire::peer::Op op, const std::string& id,
-                                 const std::string& body);
+    std::optional<Reply> hand_on(wire::peer::Op op, const std::string& id, const std::string& body);
     std::optional<Reply> from_final(const std::string& id, bool with_counts);
     Reply from_records(const std::string& id, bool with_counts);
     Reply poll_records(const std::string& id);
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -111,8 +111,8 @@
     s.listen = top.endpoint("listen");
     s.internal = top.endpoint("internal_addr");
     for (const auto& sibling : top.list("siblings"))
-        s.siblings.push_back({sibling.text("node_name"), sibling.text("domain"),
-                              sibling.endpoint("endpoint")});
+        s.siblings.push_back(
+            {sibling.text("node_name"), sibling.text("domain"), sibling.endpoint("endpoint")});
     const auto external = top.sub("external");
     s.cloud = external.endpoint("cloud");
     s.state = external.endpoint("state");
@@ -207,10 +207,8 @@
                  throw SettingsError(file + ": " + name + " must be error, info or debug");
              own.log_level = v;
          }},
-        {"cycle-s",
-         [&](const auto& n, const auto& v) { own.cycle = core::Seconds(number(n, v)); }},
-        {"lease-s",
-         [&](const auto& n, const auto& v) { own.lease = core::Seconds(number(n, v)); }},
+        {"cycle-s", [&](const auto& n, const auto& v) { own.cycle = core::Seconds(number(n, v)); }},
+        {"lease-s", [&](const auto& n, const auto& v) { own.lease = core::Seconds(number(n, v)); }},
         {"idle-return-s",
          [&](const auto& n, const auto& v) { own.idle_return = core::Seconds(number(n, v)); }},
         {"least-paid-s",
@@ -218,14 +216,10 @@
         {"demand-memory-s",
          [&](const auto& n, const auto& v) { own.demand_memory = core::Seconds(number(n, v)); }},
         {"headroom", [&](const auto& n, const auto& v) { own.headroom = number(n, v); }},
-        {"threads",
-         [&](const auto& n, const auto& v) {
-             own.threads = static_cast<std::size_t>(number(n, v));
-         }},
-        {"stack-kb",
-         [&](const auto& n, const auto& v) {
-             own.stack_kb = static_cast<std::size_t>(number(n, v));
-         }},
+        {"threads", [&](const auto& n,
+                        const auto& v) { own.threads = static_cast<std::size_t>(number(n, v)); }},
+        {"stack-kb", [&](const auto& n,
+                         const auto& v) { own.stack_kb = static_cast<std::size_t>(number(n, v)); }},
         {"finals-cached", [&](const auto& n, const auto& v) {
              own.finals_cached = static_cast<std::size_t>(number(n, v));
          }}};
@@ -244,8 +238,9 @@
 admission::FloorSettings load_admission(const std::string& file, const Settings& settings) {
     admission::FloorSettings floors;
     if (file.empty()) {
-        // Guard: on a site of few machines a floor is less than one gang's size, and claims it whole:
-        // urgent gangs lost their machines to work that was served anyway (docs/admission.md).
+        // Guard: on a site of few machines a floor is less than one gang's size, and claims it
+        // whole: urgent gangs lost their machines to work that was served anyway
+        // (docs/admission.md).
         floors.whole = 0;
         return floors;
     }
@@ -283,7 +278,8 @@
 std::size_t most_connections(const Settings& settings, const OperatorSettings& own) {
     // A third of the sockets is left for calls out, and for connections on their way in or out.
     const auto by_sockets = settings.most_sockets * 2 / 3;
-    // What a connection's thread was seen to touch of its stack and heap, in a quarter of the memory.
+    // What a connection's thread was seen to touch of its stack and heap, in a quarter of the
+    // memory.
     constexpr double kb_a_connection = 40;
     const auto by_memory =
         static_cast<std::size_t>(settings.memory_mb * 1024 / 4 / kb_a_connection);
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -65,10 +65,11 @@
 
 Settings load_settings(const std::string& file);
 OperatorSettings load_operator_settings(const std::string& file);
-// Floors and weights; without a file there are no floors. Teams are those of the platform's settings.
+// Floors and weights; without a file there are no floors. Teams are those of the platform's
+// settings.
 admission::FloorSettings load_admission(const std::string& file, const Settings& settings);
-// Connections served at once, a thread each: what operators allow, the sockets and the memory of the
-// platform's settings permit.
+// Connections served at once, a thread each: what operators allow, the sockets and the memory of
+// the platform's settings permit.
 std::size_t most_connections(const Settings& settings, const OperatorSettings& own);
 // How many more may wait for one of `served` to end.
 std::size_t most_waiting(const Settings& settings, std::size_t served);
--- a/src/app/visits.cpp
+++ b/src/app/visits.cpp
@@ -31,7 +31,8 @@
         visit = {now, now, std::nullopt};
     visit.last = now;
     if (visit.sent && core::between(*visit.sent, now) < sent_again) return false;
-    if (!visit.sent && knows_steward && core::between(visit.since, now) < report_ * reports_handed_on)
+    if (!visit.sent && knows_steward &&
+        core::between(visit.since, now) < report_ * reports_handed_on)
         return false;
     visit.sent = now;
     return true;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -17,8 +17,8 @@
 constexpr double cancel_share = 0.6;
 // Reports in a row that show none of the orders given: one answer may be lost on any network.
 constexpr std::uint32_t reports_unheeded = 2;
-// Of the machines that are heard but do not hear, this share may be given up within a lease; and two
-// in any case. More at once are rather this controller's own trouble than theirs.
+// Of the machines that are heard but do not hear, this share may be given up within a lease; and
+// two in any case. More at once are rather this controller's own trouble than theirs.
 constexpr double share_given_up = 0.1;
 constexpr std::size_t least_given_up = 2;
 
@@ -133,10 +133,10 @@
     }
 }
 
-// From when on it is in every list, if it is not gone. A machine that the cloud has taken, or that a
-// former controller has returned, leaves the list long before the lease of its worker is over.
-// Absence proves nothing, so its release is asked for; that it is answered does. Were the list wrong,
-// a machine that nobody has heard of for as long would be lost, and no rule with it.
+// From when on it is in every list, if it is not gone. A machine that the cloud has taken, or that
+// a former controller has returned, leaves the list long before the lease of its worker is over.
+// Absence proves nothing, so its release is asked for; that it is answered does. Were the list
+// wrong, a machine that nobody has heard of for as long would be lost, and no rule with it.
 TimePoint Fleet::seen_in_list_by(const Machine& machine) const {
     const auto late = config_.list_lag * 2 + beyond_list_lag;
     // One that reports is not given up for a report or two that went astray.
@@ -176,8 +176,8 @@
 // it was free, and every task was placed there again after each of them.
 void Fleet::heed(Machine& machine, const Report& report, TimePoint now) {
     const auto asked = std::exchange(machine.asked, {});
-    // A task of a gang that saves is reported as running until it exits, so a stop with time to save
-    // that does not show says nothing.
+    // A task of a gang that saves is reported as running until it exits, so a stop with time to
+    // save that does not show says nothing.
     const auto telling = [](const Order& order) {
         return order.verb != Order::Verb::stop || order.grace <= Seconds{0};
     };
@@ -201,8 +201,7 @@
 bool Fleet::out_of_reach(const Machine& machine, TimePoint now) const {
     if (machine.releasing || !machine.heard_since) return false;
     const auto patience = config_.workers.lease + silence_beyond_lease;
-    if (!machine.confirmed)
-        return between(later(*machine.heard_since, patience), now) > Seconds{0};
+    if (!machine.confirmed) return between(later(*machine.heard_since, patience), now) > Seconds{0};
     return machine.deaf_since && machine.held.empty() &&
            between(*machine.deaf_since, now) > patience;
 }
@@ -212,9 +211,9 @@
 void Fleet::release_out_of_reach(TimePoint now) {
     while (!given_up_.empty() && between(given_up_.front(), now) > config_.workers.lease)
         given_up_.pop_front();
-    const auto most = std::max(least_given_up, static_cast<std::size_t>(std::floor(
-                                                   static_cast<double>(machines_.size()) *
-                                                   share_given_up)));
+    const auto most = std::max(
+        least_given_up, static_cast<std::size_t>(
+                            std::floor(static_cast<double>(machines_.size()) * share_given_up)));
     for (auto& [name, machine] : machines_) {
         if (given_up_.size() >= most) return;
         if (!out_of_reach(machine, now)) continue;
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -50,10 +50,10 @@
     std::string zone;
     bool spot = false;
 
-    bool unreadable = false;  // its record: anything may run there until it is confirmed
-    bool durable = false;    // recorded in the state service: starts may be ordered
-    bool confirmed = false;  // a report of its own has shown this epoch's token
-    bool reported = false;   // any report in this epoch
+    bool unreadable = false;   // its record: anything may run there until it is confirmed
+    bool durable = false;      // recorded in the state service: starts may be ordered
+    bool confirmed = false;    // a report of its own has shown this epoch's token
+    bool reported = false;     // any report in this epoch
     bool cloud_knows = false;  // rented or listed in this epoch: no late copy made it up
     bool releasing = false;
     bool failing = false;  // tasks of several jobs failed on it
@@ -77,10 +77,10 @@
     std::map<std::string, double> failed_jobs;
     // What the answer to its last report ordered, until the next one shows whether it was heard.
     std::vector<Order> asked;
-    std::uint32_t unheeded = 0;        // reports in a row that showed none of what was ordered
-    std::optional<TimePoint> deaf_since;  // heard, but by all signs it does not hear
+    std::uint32_t unheeded = 0;            // reports in a row that showed none of what was ordered
+    std::optional<TimePoint> deaf_since;   // heard, but by all signs it does not hear
     std::optional<TimePoint> heard_since;  // its first report in this epoch
-    bool call_out = false;  // one direct call at a time
+    bool call_out = false;                 // one direct call at a time
     TimePoint last_call{};
     // Attempts whose direct start was never answered: a late copy may still arrive, and would
     // start them again if the worker had been told to forget them.
@@ -123,8 +123,8 @@
     void heed(Machine& machine, const Report& report, TimePoint now);
     // It has shown that a word of ours arrived.
     static void hears(Machine& machine);
-    // Called at least once a cycle, before time is judged by: a longer pause is this controller's own,
-    // and is no machine's silence.
+    // Called at least once a cycle, before time is judged by: a longer pause is this controller's
+    // own, and is no machine's silence.
     void keep_time(TimePoint now);
     // Marks for release what is silent, never came up, fails, or holds what must be gone.
     void watch(TimePoint now);
@@ -151,8 +151,8 @@
         return machine.durable || machine.confirmed || machine.cloud_knows;
     }
 
-    // Records in the state service. Guard against a record for nothing: a copy of an old report made
-    // a machine again, and work of the epoch before waited for its confirmation.
+    // Records in the state service. Guard against a record for nothing: a copy of an old report
+    // made a machine again, and work of the epoch before waited for its confirmation.
     bool wants_record(const Machine& machine) const {
         return !machine.durable && !machine.releasing && machine.type_known && machine.reported &&
                certain(machine);
@@ -178,7 +178,7 @@
     std::map<std::string, Machine> machines_;
     std::map<std::string, std::uint64_t> dropping_;
     std::optional<TimePoint> kept_time_;  // last
-    std::deque<TimePoint> given_up_;  // when machines out of reach were, of late
+    std::deque<TimePoint> given_up_;      // when machines out of reach were, of late
     std::set<std::string> gone_;
     std::deque<std::string> gone_order_;
 };
--- a/src/core/job.hpp
+++ b/src/core/job.hpp
@@ -47,7 +47,7 @@
     // The start went out in a direct call and its outcome is not known: the call may still be on
     // its way, so the task's absence from a report proves nothing.
     bool in_flight = false;
-    TimePoint since{};        // of the stage
+    TimePoint since{};  // of the stage
     TimePoint bound_at{};
     TimePoint ordered_at{};
     TimePoint on_at{};
@@ -72,12 +72,12 @@
     TimePoint durable_at{};
     // Since when it has waited without any of it being started; none: it is not waiting.
     std::optional<TimePoint> waits_since;
-    bool owed = false;     // it has once waited so long that its team's guarantee comes first
+    bool owed = false;  // it has once waited so long that its team's guarantee comes first
     // Was placed under a floor, and keeps it: a class whose job had just been started starved no
     // more, and the job was stopped again for those who had kept it waiting.
     bool floored = false;
-    bool begun = false;    // a start of one of its tasks has been ordered in this epoch
-    bool started = false;  // all tasks of a gang, or one of an array, have run at once
+    bool begun = false;          // a start of one of its tasks has been ordered in this epoch
+    bool started = false;        // all tasks of a gang, or one of an array, have run at once
     bool accepted_here = false;  // in this epoch: no older epoch can have started any of it
     Final final = Final::none;
     bool final_durable = false;
--- a/src/core/placing.cpp
+++ b/src/core/placing.cpp
@@ -85,8 +85,8 @@
     }
 }
 
-// Guard against stopping in turn: under its floor, work without need of a GPU went before urgent GPU
-// work, onto GPU machines, where that stopped it again. A floor is filled where it holds.
+// Guard against stopping in turn: under its floor, work without need of a GPU went before urgent
+// GPU work, onto GPU machines, where that stopped it again. A floor is filled where it holds.
 dsmf::EligibleJob Placing::eligible(const Job& job, std::uint32_t tasks, bool floored,
                                     const Snapshot& snapshot) const {
     dsmf::EligibleJob out;
--- a/src/core/renting.hpp
+++ b/src/core/renting.hpp
@@ -22,7 +22,8 @@
 struct RentPlan {
     std::vector<RentRequest> rent;
     std::vector<std::string> release;
-    std::vector<std::string> overdue;  // of those: what must be gone even if another controller acts
+    std::vector<std::string>
+        overdue;  // of those: what must be gone even if another controller acts
 };
 
 // Machines of one type, zone and kind: what is decided for a pool is decided once.
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -166,7 +166,9 @@
 }
 
 HttpServer::HttpServer(HttpServerLimits limits) : limits_(limits) {
-    new_task_queue = [most = limits_.most_threads, waiting = limits_.most_waiting] { return new GrowingPool(most, waiting); };
+    new_task_queue = [most = limits_.most_threads, waiting = limits_.most_waiting] {
+        return new GrowingPool(most, waiting);
+    };
     set_payload_max_length(limits_.most_body);
     set_keep_alive_max_count(1'000'000);
     set_keep_alive_timeout(limits_.idle.count());
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -101,8 +101,8 @@
 using Names = std::array<std::pair<const char*, Enum>, N>;
 
 constexpr Names<core::Kind, 3> kind_names{{{"batch", core::Kind::array},
-                                          {"ensemble", core::Kind::gang},
-                                          {"daemon", core::Kind::service}}};
+                                           {"ensemble", core::Kind::gang},
+                                           {"daemon", core::Kind::service}}};
 constexpr Names<core::Priority, 4> priority_names{{{"critical", core::Priority::production},
                                                    {"urgent", core::Priority::high},
                                                    {"standard", core::Priority::normal},
@@ -283,7 +283,9 @@
 
 namespace path {
 
-std::string key(const std::string& key) { return "/kv/" + key; }
+std::string key(const std::string& key) {
+    return "/kv/" + key;
+}
 std::string range(const std::string& prefix, const std::string& after, unsigned limit) {
     auto out = "/kv?starts=" + prefix;
     if (!after.empty()) out += "&since=" + after;
@@ -293,8 +295,12 @@
     return "/watch?starts=" + prefix + "&since=" + std::to_string(since) +
            "&wait_ms=" + std::to_string(wait.count());
 }
-std::string lease(std::uint64_t lease) { return "/leases/" + std::to_string(lease); }
-std::string touch(std::uint64_t id) { return lease(id) + "/touch"; }
+std::string lease(std::uint64_t lease) {
+    return "/leases/" + std::to_string(lease);
+}
+std::string touch(std::uint64_t id) {
+    return lease(id) + "/touch";
+}
 std::string list(const std::string& after, unsigned limit) {
     auto out = std::string("/machines?page=") + std::to_string(limit);
     if (!after.empty()) out += "&since=" + after;
@@ -336,7 +342,9 @@
     }
 }
 
-std::string job_body(const core::JobSpec& spec) { return to_cbor(spec_to(spec)); }
+std::string job_body(const core::JobSpec& spec) {
+    return to_cbor(spec_to(spec));
+}
 
 namespace {
 constexpr const char* stage_done = "done";
@@ -369,7 +377,9 @@
     return to_cbor(m);
 }
 
-std::string error_body(const std::string& why) { return to_cbor(Value{{"error", why}}); }
+std::string error_body(const std::string& why) {
+    return to_cbor(Value{{"error", why}});
+}
 
 std::optional<core::Report> parse_report(std::string_view body) {
     return guarded([&] {
@@ -410,9 +420,9 @@
         if (t.saved) piece["stored"] = true;
         pieces.push_back(std::move(piece));
     }
-    Value m{{"spindle", r.machine}, {"addr", r.address},   {"build", r.type},
-            {"hall", r.zone},       {"loaners", r.spot},   {"shift", r.session},
-            {"tick", r.seq},        {"baton", r.token},    {"pieces", std::move(pieces)}};
+    Value m{{"spindle", r.machine}, {"addr", r.address}, {"build", r.type},
+            {"hall", r.zone},       {"loaners", r.spot}, {"shift", r.session},
+            {"tick", r.seq},        {"baton", r.token},  {"pieces", std::move(pieces)}};
     if (r.notice) m["warning_s"] = r.notice->count();
     return to_cbor(m);
 }
@@ -589,12 +599,12 @@
 Value job_record(const core::JobRecord& r) {
     using std::chrono::duration_cast;
     using std::chrono::milliseconds;
-    return Value{{"spec", spec_to(r.spec)},
-                 {"home", r.home},
-                 {"submitted_ms",
-                  duration_cast<milliseconds>(r.submitted.time_since_epoch()).count()},
-                 {"attempt", r.last_attempt},
-                 {"done", done_to(r.done, r.spec.tasks)}};
+    return Value{
+        {"spec", spec_to(r.spec)},
+        {"home", r.home},
+        {"submitted_ms", duration_cast<milliseconds>(r.submitted.time_since_epoch()).count()},
+        {"attempt", r.last_attempt},
+        {"done", done_to(r.done, r.spec.tasks)}};
 }
 
 std::optional<core::JobRecord> parse_job_record(const Value& v) {
--- a/tests/cloud_desk_test.cpp
+++ b/tests/cloud_desk_test.cpp
@@ -40,8 +40,8 @@
     CloudDesk desk{office, settings, [this] { return may_act.load(); }};
 };
 
-// Guard: a controller that had stood still went on with the plan it had in hand and returned machines
-// that its successor had work on.
+// Guard: a controller that had stood still went on with the plan it had in hand and returned
+// machines that its successor had work on.
 TEST(CloudDesk, ReturnsNothingWithoutAValidLease) {
     auto& d = *new Desk(36000 + static_cast<int>(::getpid() % 2000));
     std::thread([&d] { d.desk.run(); }).detach();
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -58,7 +58,8 @@
     EXPECT_TRUE(second->standing().acting);
 }
 
-// Guard: the one that workers cannot reach hands the role over, and takes it back if nobody else can.
+// Guard: the one that workers cannot reach hands the role over, and takes it back if nobody else
+// can.
 TEST_F(Lives, OneThatGivesWayLetsASiblingActAndActsAgainIfNobodyDoes) {
     const auto first = begun("a", 1s);
     const auto sibling = begun("b", 1s);
--- a/tests/visits_test.cpp
+++ b/tests/visits_test.cpp
@@ -17,8 +17,8 @@
     EXPECT_TRUE(visits.send_there("m1", false, start));
 }
 
-// Guard: one that comes although it knows who acts has lost the way. Its report is handed on first, so
-// that its lease outlives the attempt to go there again.
+// Guard: one that comes although it knows who acts has lost the way. Its report is handed on first,
+// so that its lease outlives the attempt to go there again.
 TEST(Visits, AWorkerThatKnowsIsHandedOnFirstAndSentThereOnce) {
     Visits visits(2s);
     EXPECT_FALSE(visits.send_there("m1", true, start));
