Siblings know of a cancellation before its user: a majority stands for a lost leader

Cause: with the acting controller lost in an outage the others may renew leases only for cancel_s - lease_s - 2 s after its last word, since it may have confirmed a cancellation that they do not know.

Change: before a cancellation is recorded, enough siblings are told of it that any majority of the others has one that knows. With the acting one lost, a controller that hears each second from a majority which has remembered for cancel_s renews on, and its answers stop what these know. A cancellation that nobody else can be told of waits until the others can have nothing left to renew by.

--- a/src/app/renewals.cpp
+++ b/src/app/renewals.cpp
@@ -16,15 +16,27 @@
 // not turn its workers away between two words of its siblings.
 constexpr Seconds least_bound{4};
 
+// The newest time that so many have reached.
+std::optional<TimePoint> reached_by(const std::map<std::string, TimePoint>& times,
+                                    std::size_t number) {
+    std::vector<TimePoint> sorted;
+    for (const auto& [name, time] : times) sorted.push_back(time);
+    if (number == 0 || sorted.size() < number) return std::nullopt;
+    std::sort(sorted.begin(), sorted.end(), std::greater<>());
+    return sorted[number - 1];
+}
+
 }  // namespace
 
 Seconds renewal_bound(const core::WorkerTimes& workers) {
     return std::max(workers.cancel - workers.lease - margin, least_bound);
 }
 
-void RoleProof::begin() {
+void RoleProof::begin(TimePoint now) {
+    began_ = now;
     vouchers_.clear();
     acknowledged_.clear();
+    words_.clear();
 }
 
 void RoleProof::vouched(const std::string& sibling, TimePoint asked) {
@@ -32,48 +44,89 @@
     last = std::max(last, asked);
 }
 
-// Any majority that would vouch for a former controller, itself among it, has a member that
-// acknowledged this one's epoch.
 bool RoleProof::known_to_enough() const {
-    return acknowledged_.size() + 1 >= controllers_ - controllers_ / 2;
+    return acknowledged_.size() >= siblings_in_every_majority(controllers_);
+}
+
+bool RoleProof::may_confirm(const std::set<std::string>& told,
+                            const std::set<std::string>& siblings, TimePoint now) const {
+    if (told.size() >= siblings_in_every_majority(controllers_)) return true;
+    return std::all_of(siblings.begin(), siblings.end(), [&](const auto& name) {
+        if (told.contains(name)) return true;
+        const auto word = words_.find(name);
+        const auto last = word == words_.end() ? began_ : std::max(began_, word->second);
+        return core::between(last, now) > bound_ + margin;
+    });
 }
 
 TimePoint RoleProof::sole_until(TimePoint lease_end, TimePoint now) const {
-    const auto by_lease = std::min(lease_end, now);
-    const auto needed = controllers_ / 2;  // with this one a majority
+    const auto needed = siblings_of_a_majority(controllers_);
     if (needed == 0) return now;
-    std::vector<TimePoint> times;
-    for (const auto& [name, asked] : vouchers_) times.push_back(asked);
-    if (times.size() < needed) return by_lease;
-    std::sort(times.begin(), times.end(), std::greater<>());
-    return std::max(by_lease, times[needed - 1]);
+    const auto by_lease = std::min(lease_end, now);
+    const auto vouched = reached_by(vouchers_, needed);
+    return vouched ? std::max(by_lease, *vouched) : by_lease;
 }
 
 bool RoleProof::may_renew(TimePoint lease_end, TimePoint now) const {
     return core::between(sole_until(lease_end, now), now) <= bound_;
 }
 
+void LastWord::begin(TimePoint now) {
+    if (!began_) began_ = now;
+}
+
+void LastWord::cancelled(const std::string& job, TimePoint now) {
+    const auto old = [&](const auto& entry) { return entry.second <= now; };
+    std::erase_if(told_, old);
+    std::erase_if(gathered_, old);
+    told_[job] = core::later(now, memory_);
+}
+
 void LastWord::told(const wire::peer::Word& word, TimePoint asked) {
-    std::erase_if(cancelled_, [&](const auto& entry) { return entry.second <= asked; });
-    for (const auto& job : word.cancelled) cancelled_[job] = core::later(asked, memory_);
+    for (const auto& job : word.cancelled)
+        if (!told_.contains(job)) cancelled(job, asked);
     if (!word.complete) return;
     const auto until = core::later(asked, -Seconds(word.age));
     complete_until_ = complete_until_ ? std::max(*complete_until_, until) : until;
 }
 
+// Each confirmed cancellation is known to a member of any majority, for as long as it matters. What
+// has not remembered for so long does not count.
+void LastWord::answered(const std::string& sibling, const wire::peer::Word& word, TimePoint asked) {
+    std::erase_if(gathered_, [&](const auto& entry) { return entry.second <= asked; });
+    for (const auto& job : word.cancelled) gathered_.try_emplace(job, core::later(asked, memory_));
+    if (!word.complete || !remembers_enough(word.memory)) return;
+    auto& last = answers_[sibling];
+    last = std::max(last, asked);
+    if (!began_ || !remembers_enough(core::between(*began_, asked))) return;
+    const auto until = reached_by(answers_, siblings_of_a_majority(controllers_));
+    if (until && (!complete_until_ || *until > *complete_until_)) complete_until_ = until;
+}
+
+wire::peer::Word LastWord::word(TimePoint now) const {
+    wire::peer::Word out;
+    out.complete = true;
+    if (began_) out.memory = std::chrono::floor<std::chrono::milliseconds>(now - *began_);
+    for (const auto& [job, until] : told_)
+        if (until > now) out.cancelled.push_back(job);
+    return out;
+}
+
 bool LastWord::may_renew(TimePoint now) const {
     return complete_until_ && core::between(*complete_until_, now) <= bound_;
 }
 
 std::vector<core::Order> LastWord::stops(const core::Report& report, TimePoint now) const {
+    const auto in = [&](const Jobs& jobs, const std::string& job) {
+        const auto found = jobs.find(job);
+        return found != jobs.end() && found->second > now;
+    };
     std::vector<core::Order> out;
-    for (const auto& task : report.tasks) {
-        const auto found = cancelled_.find(task.job);
-        if (task.state == core::TaskState::exited || found == cancelled_.end() ||
-            found->second <= now)
-            continue;
-        out.push_back({core::Order::Verb::stop, task.job, task.index, task.attempt, Seconds{0}});
-    }
+    for (const auto& task : report.tasks)
+        if (task.state != core::TaskState::exited &&
+            (in(told_, task.job) || in(gathered_, task.job)))
+            out.push_back(
+                {core::Order::Verb::stop, task.job, task.index, task.attempt, Seconds{0}});
     return out;
 }
 
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -64,7 +64,7 @@
                   polls_in_hand),
       reach_(settings_.workers.report),
       proof_(settings_.workers, settings_.siblings.size() + 1),
-      last_word_(settings_.workers) {
+      last_word_(settings_.workers, settings_.siblings.size() + 1) {
     for (const auto& sibling : settings_.siblings)
         siblings_[sibling.name] = std::make_unique<io::PeerClient>(sibling.endpoint, peer_limit);
 }
@@ -76,7 +76,7 @@
     }
     {
         const std::lock_guard lock(renewals_mutex_);
-        proof_.begin();
+        proof_.begin(Clock::now());
     }
     // Loading runs beside the renewal of the lease, which this thread must not hold up.
     std::thread([this, epoch, steward_stamp, log = TakeoverLog(Clock::now())]() mutable {
@@ -369,6 +369,11 @@
         if (reply.status == 200 && !finals_.get(id)) return busy("the job is not loaded");
         return reply;
     }
+    const auto epoch = office_.controller->epoch();
+    lock.unlock();
+    if (!tell_cancelled(id, epoch)) return busy("the other controllers cannot be told");
+    lock.lock();
+    if (!office_.controller || office_.controller->epoch() != epoch) return busy("taking over");
     // Guard against ran_cancelled: a former controller that hears neither the state service nor
     // this one renewed the leases of its workers through an outage, and nobody was left to end
     // them. With enough siblings that know who acts it finds none to vouch for it.
@@ -484,14 +489,67 @@
     // A machine that has not shown this epoch's token may hold what a former controller cancelled.
     out.complete = controller.unconfirmed() == 0;
     out.cancelled = controller.cancelled_on_machines();
+    const std::lock_guard lock(renewals_mutex_);
+    const auto memory = last_word_.word(now);
+    out.memory = memory.memory;
+    for (const auto& job : memory.cancelled) out.cancelled.push_back(job);
     return out;
 }
 
-Reply Service::tell_word() {
-    if (!membership_.standing().acting) return {membership_.knows_view() ? 421 : 503, 0, {}};
+Reply Service::tell_word(const std::string& sibling) {
+    if (!membership_.standing().acting) {
+        if (!membership_.knows_view()) return {503, 0, {}};
+        const std::lock_guard lock(renewals_mutex_);
+        return {421, 0, wire::peer::pack(last_word_.word(Clock::now()))};
+    }
     const std::lock_guard lock(office_.mutex);
     if (!office_.controller) return {503, 0, {}};
-    return {200, 0, wire::peer::pack(word(*office_.controller))};
+    const auto told = word(*office_.controller);
+    const std::lock_guard renewals(renewals_mutex_);
+    proof_.gave_word(sibling, Clock::now());
+    return {200, 0, wire::peer::pack(told)};
+}
+
+// Guard against ran_cancelled: with the one that confirmed lost in an outage, nobody knew what to
+// stop. Siblings know before the user does, enough of them for any majority to have one that knows.
+bool Service::tell_cancelled(const std::string& id, std::uint64_t epoch) {
+    {
+        const std::lock_guard lock(renewals_mutex_);
+        last_word_.cancelled(id, Clock::now());
+    }
+    std::set<std::string> told;
+    std::set<std::string> all;
+    for (const auto& [name, sibling] : siblings_) all.insert(name);
+    const auto enough = [&] {
+        const std::lock_guard lock(renewals_mutex_);
+        return proof_.may_confirm(told, all, Clock::now());
+    };
+    for (auto& [name, sibling] : siblings_) {
+        if (enough()) return true;
+        {
+            const std::lock_guard lock(failed_mutex_);
+            const auto failed = failed_until_.find(name);
+            if (failed != failed_until_.end() && Clock::now() < failed->second) continue;
+        }
+        const auto answer = sibling->call({wire::peer::Op::cancelled, epoch, id, {}});
+        if (!answer) {
+            const std::lock_guard lock(failed_mutex_);
+            failed_until_[name] = Clock::now() + sibling_rest;
+            continue;
+        }
+        if (answer->epoch > epoch) membership_.suspect(answer->epoch);
+        if (answer->status == 200) told.insert(name);
+    }
+    return enough();
+}
+
+Reply Service::hear_cancelled(const std::string& id, std::uint64_t epoch) {
+    // What nobody has read the view for, or who knows better, keeps no promise.
+    if (!membership_.knows_view()) return {503, 0, {}};
+    if (epoch < membership_.standing().epoch) return {421, 0, {}};
+    const std::lock_guard lock(renewals_mutex_);
+    last_word_.cancelled(id, Clock::now());
+    return {200, 0, {}};
 }
 
 wire::peer::Answer Service::answer_sibling(const wire::peer::Request& request) {
@@ -513,7 +571,10 @@
             reply.status = 200;
             break;
         case wire::peer::Op::word:
-            reply = tell_word();
+            reply = tell_word(request.id);
+            break;
+        case wire::peer::Op::cancelled:
+            reply = hear_cancelled(request.id, request.epoch);
             break;
     }
     return {static_cast<std::uint16_t>(reply.status), static_cast<std::uint16_t>(reply.retry_after),
@@ -533,6 +594,10 @@
 
 void Service::announce() {
     for (;;) {
+        if (membership_.knows_view()) {
+            const std::lock_guard lock(renewals_mutex_);
+            last_word_.begin(Clock::now());
+        }
         const auto standing = membership_.standing();
         if (!standing.acting)
             ask_for_word(standing);
@@ -581,20 +646,48 @@
     }
 }
 
+// The word of the one that acts, or else those of the others: with that one lost in an outage, what
+// runs goes on by what they remember together.
 void Service::ask_for_word(const Standing& standing) {
+    if (standing.epoch == 0) return;
+    if (!ask_who_acts(standing)) ask_the_others(standing);
+}
+
+bool Service::ask_who_acts(const Standing& standing) {
     const auto it = siblings_.find(standing.steward);
-    if (it == siblings_.end()) return;
+    if (it == siblings_.end()) return false;
     const auto asked = Clock::now();
     const auto answer =
         it->second->call({wire::peer::Op::word, standing.epoch, settings_.name, {}});
-    if (!answer) return;
+    if (!answer) return false;
     last_sibling_answer_ = Clock::now();
     if (answer->epoch > standing.epoch) membership_.suspect(answer->epoch);
-    if (answer->status != 200 || answer->epoch != standing.epoch) return;
+    if (answer->status != 200 || answer->epoch != standing.epoch) return false;
     const auto word = wire::peer::parse_word(answer->body);
-    if (!word) return;
+    if (!word) return false;
     const std::lock_guard lock(renewals_mutex_);
     last_word_.told(*word, asked);
+    return true;
+}
+
+void Service::ask_the_others(const Standing& standing) {
+    for (auto& [name, sibling] : siblings_) {
+        if (name == standing.steward) continue;
+        const auto asked = Clock::now();
+        const auto answer =
+            sibling->call({wire::peer::Op::word, standing.epoch, settings_.name, {}});
+        if (!answer) continue;
+        last_sibling_answer_ = Clock::now();
+        if (answer->epoch > standing.epoch) {
+            membership_.heard(answer->epoch, {});
+            return;
+        }
+        if (answer->epoch != standing.epoch || answer->status == 503) continue;
+        const auto word = wire::peer::parse_word(answer->body);
+        if (!word) continue;
+        const std::lock_guard lock(renewals_mutex_);
+        last_word_.answered(name, *word, asked);
+    }
 }
 
 void Service::give_way_if_unreached() {
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -64,7 +64,10 @@
     bool may_renew();
     // What this controller, which acts with these, tells those that do not.
     wire::peer::Word word(const core::Controller& controller);
-    Reply tell_word();
+    Reply tell_word(const std::string& sibling);
+    // Whether a cancellation may be confirmed after it: enough siblings know of it.
+    bool tell_cancelled(const std::string& id, std::uint64_t epoch);
+    Reply hear_cancelled(const std::string& id, std::uint64_t epoch);
 
     bool healthy() const;
     wire::peer::Answer answer_sibling(const wire::peer::Request& request);
@@ -82,6 +85,8 @@
     void tell_siblings(const Standing& standing);
     void ask_for_vouchers(const Standing& standing);
     void ask_for_word(const Standing& standing);
+    bool ask_who_acts(const Standing& standing);
+    void ask_the_others(const Standing& standing);
     void give_way_if_unreached();
     void stop_when_asked(io::HttpServer& http);
 
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -97,10 +97,14 @@
         list += id;
         ++number;
     }
-    const auto age = std::clamp<std::chrono::milliseconds::rep>(
-        w.age.count(), 0, std::numeric_limits<std::uint32_t>::max());
+    const auto put_time = [](std::string& to, std::chrono::milliseconds time) {
+        const auto bounded = std::clamp<std::chrono::milliseconds::rep>(
+            time.count(), 0, std::numeric_limits<std::uint32_t>::max());
+        put<std::uint32_t>(to, static_cast<std::uint32_t>(bounded));
+    };
     std::string out;
-    put<std::uint32_t>(out, static_cast<std::uint32_t>(age));
+    put_time(out, w.age);
+    put_time(out, w.memory);
     put<std::uint8_t>(out, complete ? 1 : 0);
     put<std::uint32_t>(out, number);
     return out += list;
@@ -119,7 +123,8 @@
 }
 
 std::optional<Request> parse_request(std::uint8_t kind, std::string_view payload) {
-    if (kind < static_cast<std::uint8_t>(Op::status) || kind > static_cast<std::uint8_t>(Op::word))
+    if (kind < static_cast<std::uint8_t>(Op::status) ||
+        kind > static_cast<std::uint8_t>(Op::cancelled))
         return std::nullopt;
     Reader in(payload);
     Request out;
@@ -147,6 +152,7 @@
     Reader in(body);
     Word out;
     out.age = std::chrono::milliseconds(in.get<std::uint32_t>());
+    out.memory = std::chrono::milliseconds(in.get<std::uint32_t>());
     const auto complete = in.get<std::uint8_t>();
     const auto number = in.get<std::uint32_t>();
     if (complete > 1 || number > body.size() / sizeof(std::uint16_t)) return std::nullopt;
--- a/src/wire/peer.hpp
+++ b/src/wire/peer.hpp
@@ -15,7 +15,14 @@
 constexpr std::size_t header_size = 8;
 constexpr std::size_t most_payload = 128 * 1024;
 
-enum class Op : std::uint8_t { status = 2, cancel = 3, report = 4, view = 5, word = 6 };
+enum class Op : std::uint8_t {
+    status = 2,
+    cancel = 3,
+    report = 4,
+    view = 5,
+    word = 6,
+    cancelled = 7
+};
 
 // Frame: u8 version, u8 kind, u16 zero, u32 payload length.
 struct Header {
@@ -29,7 +36,8 @@
 };
 
 // A user's or worker's request handed on to the controller that acts, or (view) the word of that
-// controller, named by the id, that it acts under this epoch.
+// controller, named by the id, that it acts under this epoch, or (cancelled) that it is about to
+// confirm the cancellation of the job named by the id. `word` asks for a `Word`.
 // u64 sender's epoch, u16 id length, id, u32 body length, body.
 struct Request {
     Op op = Op::status;
@@ -46,13 +54,16 @@
     std::string body;
 };
 
-// In the answer to `word` (200) of the controller that acts: which cancelled jobs may still have
-// tasks on machines. 421 without a word: not acting, and knows the view; 503: neither. u32 age in
-// ms, u8 complete, u32 number, and so many of: u16 length, id.
+// In the answer to `word`: the jobs that the sender knows to be cancelled, of late. 200: it acts;
+// 421: it does not, and knows the view; 503, without a word: neither.
+// u32 age in ms, u32 memory in ms, u8 complete, u32 number, and so many of: u16 length, id.
 struct Word {
-    // So long ago nobody else can have confirmed anything.
+    // Of who acts: so long ago nobody else can have confirmed anything.
     std::chrono::milliseconds age{0};
-    // All confirmed cancellations that may matter are among these, those of former epochs too.
+    // For so long it has known the view and taken what it was told.
+    std::chrono::milliseconds memory{0};
+    // Of who acts: all confirmed cancellations that may matter are among these, those of former
+    // epochs too. Of others: nothing is left out that they know.
     bool complete = false;
     std::vector<std::string> cancelled;
 };
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -201,17 +201,20 @@
 }
 
 TEST(Peer, AWordIsPackedAndUnpacked) {
-    const peer::Word word{std::chrono::milliseconds(1500), true, {"job-1", "job-22"}};
+    const peer::Word word{std::chrono::milliseconds(1500), std::chrono::milliseconds(70'000), true,
+                          {"job-1", "job-22"}};
     const auto back = peer::parse_word(peer::pack(word));
     ASSERT_TRUE(back);
     EXPECT_EQ(back->age, word.age);
+    EXPECT_EQ(back->memory, word.memory);
     EXPECT_TRUE(back->complete);
     EXPECT_EQ(back->cancelled, word.cancelled);
 }
 
 // One that leaves jobs out must not count as complete: what it leaves out would be kept alive.
 TEST(Peer, AWordThatDoesNotFitIsNotComplete) {
-    peer::Word word{std::chrono::milliseconds(0), true, {}};
+    peer::Word word;
+    word.complete = true;
     for (int i = 0; i < 3000; ++i) word.cancelled.emplace_back(94, 'x');
     const auto body = peer::pack(word);
     EXPECT_LE(peer::pack(peer::Answer{200, 0, 1, body}).size(),
@@ -223,16 +226,17 @@
 }
 
 TEST(Peer, AMalformedWordIsNone) {
-    const auto good = peer::pack(peer::Word{std::chrono::milliseconds(1), true, {"job-1"}});
+    const auto good = peer::pack(
+        peer::Word{std::chrono::milliseconds(1), std::chrono::milliseconds(2), true, {"job-1"}});
     ASSERT_TRUE(peer::parse_word(good));
     for (std::size_t n = 0; n < good.size(); ++n)
         EXPECT_FALSE(peer::parse_word(good.substr(0, n))) << n << " bytes";
     EXPECT_FALSE(peer::parse_word(good + "x"));
     auto number = good;
-    number[5] = '\xff';  // four thousand million jobs
+    number[9] = '\xff';  // four thousand million jobs
     EXPECT_FALSE(peer::parse_word(number));
     auto flag = good;
-    flag[4] = 2;
+    flag[8] = 2;
     EXPECT_FALSE(peer::parse_word(flag));
 }
 
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -17,6 +17,7 @@
 using wire::Value;
 
 struct Setting {
+    double lease_s = 30.0;
     double cancel_s = 30.0;
     // The state service has a port for each controller, so that it can refuse one.
     bool own_state_ports = false;
@@ -54,7 +55,7 @@
                   {"objectives", Value::array()},
                   {"workers",
                    {{"report_s", 1.0},
-                    {"lease_s", 30.0},
+                    {"lease_s", setting.lease_s},
                     {"gang_wait_s", 30.0},
                     {"gang_peer_s", 4.0},
                     {"cancel_s", setting.cancel_s}}},
@@ -328,7 +329,7 @@
 };
 
 struct Cut : Meetings {
-    Cut() : Meetings({36.0, true, true}) {}
+    Cut() : Meetings({30.0, 36.0, true, true}) {}
 };
 
 // The gap: the state service refuses the one that acts, which hears none of its siblings either;
@@ -368,7 +369,7 @@
 }
 
 struct Together : Meetings {
-    Together() : Meetings({36.0, true, false}) {}
+    Together() : Meetings({30.0, 36.0, true, false}) {}
 };
 
 // The one that acts confirms a cancellation and ends at once, in an outage that lasts: its siblings
@@ -406,5 +407,39 @@
     state_.outage(false);
 }
 
+// Siblings that have remembered for as long as a cancellation has (8 s here) need no word of the
+// one that acted: they know together what it confirmed.
+struct Remembering : Meetings {
+    Remembering() : Meetings({3.0, 8.0, true, false}) {}
+    void begin_and_remember() {
+        begin();
+        controllers_.start(1);
+        controllers_.start(2);
+        report_for(10s, 0);
+    }
+};
+
+TEST_F(Remembering, RunningWorkOutlivesAnOutageWithItsLeaderLost) {
+    begin_and_remember();
+    state_.outage(true);
+    controllers_.kill(0);
+    const auto lost_at = Clock::now();
+    EXPECT_FALSE(report_for(bound + 8s, 1));
+    EXPECT_GT(worker_.renewed_at, lost_at + bound + 7s);
+    report_for(2s, 2);
+    EXPECT_GT(worker_.renewed_at, lost_at + bound + 9s);
+}
+
+// Lost in the very moment in which it confirmed, before any round of words.
+TEST_F(Remembering, SiblingsStopWhatWasCancelledLast) {
+    begin_and_remember();
+    ASSERT_EQ(cancel_at(0), "aborted");
+    state_.outage(true);
+    controllers_.kill(0);
+    bool stopped = false;
+    for (int i = 1; i < 3; ++i) stopped |= report_for(1500ms, i);
+    EXPECT_TRUE(stopped);
+}
+
 }  // namespace
 }  // namespace bendspindle
--- a/tests/renewals_test.cpp
+++ b/tests/renewals_test.cpp
@@ -36,7 +36,7 @@
 
 TEST(RoleProof, HoldsForItsBoundBeyondItsOwnLease) {
     RoleProof proof(times(), 3);
-    proof.begin();
+    proof.begin(start);
     const auto bound = renewal_bound(times());
     EXPECT_TRUE(proof.may_renew(start + 4s, start));
     EXPECT_TRUE(proof.may_renew(start, core::later(start, bound)));
@@ -46,7 +46,7 @@
 // In an outage for all: running work outlives it as long as a majority knows of nobody else.
 TEST(RoleProof, LivesOnThroughAnOutageWhileAMajorityVouches) {
     RoleProof proof(times(), 5);
-    proof.begin();
+    proof.begin(start);
     const auto late = start + 300s;
     proof.vouched("b", late);
     EXPECT_FALSE(proof.may_renew(start, late)) << "two of five";
@@ -54,7 +54,7 @@
     EXPECT_TRUE(proof.may_renew(start, late));
     EXPECT_EQ(proof.sole_until(start, late), late - 10s);
     EXPECT_FALSE(proof.may_renew(start, late + 60s));
-    proof.begin();
+    proof.begin(start);
     EXPECT_FALSE(proof.may_renew(start, late));
 }
 
@@ -72,14 +72,14 @@
         for (unsigned told = 0; told < 1U << n; ++told) {
             if (!(told & 1U) || (told & 2U)) continue;  // told itself, the former one acts no more
             RoleProof proof(times(), n);
-            proof.begin();
+            proof.begin(start);
             for (unsigned i = 2; i < n; ++i)
                 if (told >> i & 1U) proof.acknowledged(std::to_string(i));
             if (!proof.known_to_enough()) continue;
             for (unsigned vouch = 0; vouch < 1U << n; ++vouch) {
                 if (!(vouch & 2U)) continue;
                 RoleProof former(times(), n);
-                former.begin();
+                former.begin(start);
                 for (unsigned i = 0; i < n; ++i)
                     if (i != 1 && (vouch >> i & 1U)) former.vouched(std::to_string(i), start);
                 if (!former.may_renew(start - 300s, start)) continue;
@@ -92,36 +92,36 @@
 // And no more are asked for than that: the end of one of three keeps no cancellation back.
 TEST(RoleProof, OneOfThreeMayBeGone) {
     RoleProof proof(times(), 3);
-    proof.begin();
+    proof.begin(start);
     EXPECT_FALSE(proof.known_to_enough());
     proof.acknowledged("c");
     EXPECT_TRUE(proof.known_to_enough());
 }
 
 TEST(LastWord, RenewsForItsBoundAfterACompleteWord) {
-    LastWord last(times());
+    LastWord last(times(), 3);
     EXPECT_FALSE(last.may_renew(start)) << "nobody has said anything";
-    last.told({2s, true, {}}, start);
+    last.told({2s, 0s, true, {}}, start);
     const auto until = core::later(start - 2s, renewal_bound(times()));
     EXPECT_TRUE(last.may_renew(until));
     EXPECT_FALSE(last.may_renew(until + 1ms));
     // A word that is older takes nothing back.
-    last.told({60s, true, {}}, start + 1s);
+    last.told({60s, 0s, true, {}}, start + 1s);
     EXPECT_TRUE(last.may_renew(until));
 }
 
 // Where machines have not shown the token, a former controller's cancellations may be among them.
 TEST(LastWord, AnIncompleteWordStopsButDoesNotRenew) {
-    LastWord last(times());
-    last.told({0s, false, {"job-1"}}, start);
+    LastWord last(times(), 3);
+    last.told({0s, 0s, false, {"job-1"}}, start);
     EXPECT_FALSE(last.may_renew(start));
     EXPECT_EQ(last.stops(running("job-1"), start).size(), 1U);
 }
 
 TEST(LastWord, StopsWhatRunsOfCancelledJobsAtOnceAndForgetsThemInTime) {
-    LastWord last(times());
-    last.told({0s, true, {"job-1"}}, start);
-    last.told({0s, true, {}}, start + 1s);  // settled, as far as the acting one knows
+    LastWord last(times(), 3);
+    last.told({0s, 0s, true, {"job-1"}}, start);
+    last.told({0s, 0s, true, {}}, start + 1s);  // settled, as far as the acting one knows
     const auto stops = last.stops(running("job-1"), start + 10s);
     ASSERT_EQ(stops.size(), 1U);
     EXPECT_EQ(stops[0].verb, core::Order::Verb::stop);
@@ -132,5 +132,83 @@
     EXPECT_TRUE(last.stops(running("job-1"), start + 101s).empty());
 }
 
+wire::peer::Word remembering(core::Seconds memory, std::vector<std::string> jobs = {}) {
+    return {0s, std::chrono::duration_cast<std::chrono::milliseconds>(memory), true,
+            std::move(jobs)};
+}
+
+// With the one that acted lost in an outage: two of three remember together what was confirmed.
+TEST(LastWord, AMajorityThatRemembersStandsForTheOneThatActed) {
+    LastWord last(times(), 3);
+    last.begin(start);
+    const auto late = start + 200s;
+    EXPECT_FALSE(last.may_renew(late));
+    last.answered("c", remembering(40s), late);
+    EXPECT_FALSE(last.may_renew(late)) << "a cancellation may be older than its memory";
+    last.answered("c", remembering(60s, {"job-1"}), late);
+    EXPECT_TRUE(last.may_renew(late));
+    EXPECT_EQ(last.stops(running("job-1"), late).size(), 1U);
+    EXPECT_TRUE(last.word(late).cancelled.empty()) << "told on, it would never be forgotten";
+    EXPECT_FALSE(last.may_renew(late + 30s));
+}
+
+TEST(LastWord, OneThatHasJustBegunRemembersNothing) {
+    LastWord last(times(), 3);
+    last.answered("c", remembering(60s), start);
+    EXPECT_FALSE(last.may_renew(start)) << "has not read the view";
+    last.begin(start);
+    last.answered("c", remembering(60s), start + 10s);
+    EXPECT_FALSE(last.may_renew(start + 10s));
+    last.answered("c", remembering(60s), start + 60s);
+    EXPECT_TRUE(last.may_renew(start + 60s));
+}
+
+TEST(LastWord, TwoOfFiveAreNoMajority) {
+    LastWord last(times(), 5);
+    last.begin(start - 100s);
+    last.answered("c", remembering(60s), start);
+    EXPECT_FALSE(last.may_renew(start));
+    last.answered("d", remembering(60s), start);
+    EXPECT_TRUE(last.may_renew(start));
+}
+
+TEST(LastWord, TellsForAWhileWhatItWasTold) {
+    LastWord last(times(), 3);
+    last.begin(start);
+    last.cancelled("job-1", start);
+    EXPECT_EQ(last.word(start + 60s).cancelled, std::vector<std::string>{"job-1"});
+    EXPECT_EQ(last.word(start + 60s).memory, 60s);
+    EXPECT_TRUE(last.word(start + 101s).cancelled.empty());
+}
+
+// For every number of controllers: with the one that confirmed lost, any majority of the others has
+// one that was told; and no more than that are waited for.
+TEST(RoleProof, ConfirmsWhatEveryMajorityOfTheOthersKnows) {
+    for (std::size_t n = 1; n <= 7; ++n) {
+        std::set<std::string> all;
+        for (std::size_t i = 1; i < n; ++i) all.insert(std::to_string(i));
+        RoleProof proof(times(), n);
+        proof.begin(start);
+        std::set<std::string> told;
+        for (const auto& name : all) {
+            const bool lacks = all.size() - told.size() >= siblings_of_a_majority(n) + 1;
+            EXPECT_EQ(proof.may_confirm(told, all, start), !lacks) << told.size() << " of " << n;
+            told.insert(name);
+        }
+        EXPECT_TRUE(proof.may_confirm(told, all, start));
+    }
+}
+
+// Those that cannot be told hold a cancellation back for a bounded time.
+TEST(RoleProof, ConfirmsOnceWhoWasNotToldCanRenewNothing) {
+    RoleProof proof(times(), 3);
+    proof.begin(start);
+    const std::set<std::string> all{"b", "c"};
+    EXPECT_FALSE(proof.may_confirm({}, all, start + 10s));
+    proof.gave_word("b", start + 10s);
+    EXPECT_FALSE(proof.may_confirm({}, all, start + 25s));
+    EXPECT_TRUE(proof.may_confirm({}, all, start + 40s));
+}
+
 }  // namespace
 }  // namespace bendspindle::app
