No older state is told while the record of a final one may have been carried out

Cause, by reading (meeting: a transaction without an answer is carried out late): the acting controller tells "queued" or "running" until its write of a final state is answered. If that write is carried out without an answer, whoever reads the record, a follower that cannot reach the acting one, tells "done" or "aborted" before; the same user may then hear the older state.

Change: from the first sending of a final state until its outcome is known the job is answered 503; a refused first write changes nothing.

--- a/src/app/recorder.cpp
+++ b/src/app/recorder.cpp
@@ -32,8 +32,21 @@
     : office_(office), store_(store), finals_(finals), limits_(limits) {}
 
 Recorder::Batch Recorder::gather() {
-    Batch batch;
     const std::lock_guard lock(office_.mutex);
+    auto batch = fill();
+    if (office_.controller) batch.finals = office_.controller->sent(batch.changes);
+    return batch;
+}
+
+void Recorder::not_executed(const Batch& batch) {
+    const std::lock_guard lock(office_.mutex);
+    if (office_.controller && office_.controller->epoch() == batch.epoch)
+        office_.controller->not_executed(batch.finals);
+}
+
+// Needs the lock.
+Recorder::Batch Recorder::fill() {
+    Batch batch;
     office_.write_pending = false;
     if (!office_.controller) return batch;
     batch.epoch = office_.controller->epoch();
@@ -177,6 +190,7 @@
             read_back(batch, txn);
             continue;
         }
+        if (txn.outcome != Outcome::unknown) not_executed(batch);
         if (txn.outcome == Outcome::invalid) {
             find_unwritable(batch);
             continue;
--- a/src/app/recorder.hpp
+++ b/src/app/recorder.hpp
@@ -37,8 +37,11 @@
         std::vector<core::Change> changes;
         std::vector<wire::Condition> conditions;
         std::vector<wire::Operation> operations;
+        std::vector<std::string> finals;  // jobs whose final state is sent for the first time
     };
     Batch gather();
+    Batch fill();
+    void not_executed(const Batch& batch);
     void settle(const Batch& batch, const Txn& txn);
     void find_unwritable(const Batch& batch);
     void read_back(const Batch& batch, const Txn& txn);
--- a/src/core/changes.cpp
+++ b/src/core/changes.cpp
@@ -82,6 +82,23 @@
     return gathering.take();
 }
 
+std::vector<std::string> PendingChanges::sent(const std::vector<Change>& changes) {
+    std::vector<std::string> out;
+    for (const auto& change : changes) {
+        if (change.what != Change::What::finish_job) continue;
+        auto* job = pipelines_.find(change.id);
+        if (!job || job->final_sent) continue;
+        job->final_sent = true;
+        out.push_back(change.id);
+    }
+    return out;
+}
+
+void PendingChanges::not_executed(const std::vector<std::string>& finals) {
+    for (const auto& id : finals)
+        if (auto* job = pipelines_.find(id)) job->final_sent = false;
+}
+
 void PendingChanges::written(const std::vector<Change>& changes, std::uint64_t stamp,
                              TimePoint now) {
     for (const auto& change : changes) {
--- a/src/core/changes.hpp
+++ b/src/core/changes.hpp
@@ -32,6 +32,10 @@
     // Cancellations and final states first, then new jobs, then machines, then done-sets, which
     // wait a moment for company.
     std::vector<Change> due(std::size_t most_operations, TimePoint now) const;
+    // They are about to be written. Returns the jobs whose final state is sent for the first time.
+    std::vector<std::string> sent(const std::vector<Change>& changes);
+    // The only write of these jobs' final states so far was certainly not carried out.
+    void not_executed(const std::vector<std::string>& finals);
     void written(const std::vector<Change>& changes, std::uint64_t stamp, TimePoint now);
     // Until then no job is recorded as over, and so nobody tells a user that one is.
     void hold_finals_until(TimePoint until) { finals_from_ = until; }
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -115,6 +115,14 @@
     return changes_.due(most_operations, now);
 }
 
+std::vector<std::string> Controller::sent(const std::vector<Change>& changes) {
+    return changes_.sent(changes);
+}
+
+void Controller::not_executed(const std::vector<std::string>& finals) {
+    changes_.not_executed(finals);
+}
+
 void Controller::written(const std::vector<Change>& changes, std::uint64_t stamp, TimePoint now) {
     changes_.written(changes, stamp, now);
 }
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -85,6 +85,10 @@
 
     // Writing. Urgent changes first; done-sets wait for company.
     std::vector<Change> changes(std::size_t most_operations, TimePoint now) const;
+    // They are about to be written. Returns the jobs whose final state is sent for the first time;
+    // until it is known what became of that, no other state of theirs is told.
+    std::vector<std::string> sent(const std::vector<Change>& changes);
+    void not_executed(const std::vector<std::string>& finals);
     void written(const std::vector<Change>& changes, std::uint64_t stamp, TimePoint now);
     void restamp(Change::What what, const std::string& id, std::uint64_t stamp);
     // While a former controller may still tell users what it knew (app/membership).
--- a/src/core/job.hpp
+++ b/src/core/job.hpp
@@ -80,6 +80,7 @@
     bool accepted_here = false;  // in this epoch: no older epoch can have started any of it
     Final final = Final::none;
     bool final_durable = false;
+    bool final_sent = false;  // the write of it may have been carried out, or may yet be
     bool durable = false;
     bool found = false;  // its first record turned out to be written already, by another controller
     std::uint64_t last_attempt = 0;
--- a/src/core/pipelines.cpp
+++ b/src/core/pipelines.cpp
@@ -83,6 +83,8 @@
 std::optional<JobStatus> Pipelines::status(const std::string& id) const {
     const auto* job = find(id);
     if (!job || !job->durable) return std::nullopt;
+    // Guard against went_back: its record may say already that it is over, to whoever reads it.
+    if (job->final_sent && !job->final_durable) return std::nullopt;
     JobStatus out;
     // A final state is told only once it is durable: a controller that takes over must know it.
     if (job->final_durable) out.final = job->final;
--- a/tests/recorder_test.cpp
+++ b/tests/recorder_test.cpp
@@ -73,6 +73,69 @@
     w.office.controller.reset();
 }
 
+// Guard against went_back: the final state was recorded late, behind a write that got no answer;
+// who read the record told its user, and the controller that acts went on telling "running" or
+// "queued".
+TEST(Recorder, ALateFinalIsNotFollowedByAnOlderState) {
+    auto& w = writing();
+    const auto lease = w.store.grant(60s);
+    ASSERT_TRUE(lease);
+    const auto steward = w.store.transact({}, {{keys::steward, wire::Value{{"name", "a"}}, lease}});
+    std::unique_lock lock(w.office.mutex);
+    core::Config config;
+    config.zones = {"a"};
+    config.teams = {{"red", {}, {}}};
+    w.office.install(std::make_unique<core::Controller>(config, 2), steward.revision);
+    w.office.controller->accept(job("job-8"), core::WallTime{}, Clock::now());
+    w.office.want_write();
+    ASSERT_TRUE(w.office.recorded.wait_for(lock, 10s,
+                                           [&] { return w.office.controller->durable("job-8"); }));
+
+    // The first is carried out while the second, its repeat, is waited for.
+    w.service.hold({2200ms, 4000ms});
+    w.office.controller->cancel("job-8", Clock::now());
+    w.office.want_write();
+    int read_as_over = 0;
+    core::Final told = core::Final::none;
+    for (const auto until = Clock::now() + 15s; Clock::now() < until;) {
+        lock.unlock();
+        const bool over = w.store.get(keys::over("job-8")).outcome == Outcome::ok;
+        std::this_thread::sleep_for(20ms);
+        lock.lock();
+        const auto status = w.office.controller->status("job-8");
+        told = w.finals.get("job-8").value_or(core::Final::none);
+        if (told == core::Final::cancelled) break;
+        if (!over) continue;
+        ++read_as_over;
+        EXPECT_FALSE(status && status->final == core::Final::none);
+    }
+    EXPECT_GT(read_as_over, 0) << "the meeting did not come about";
+    EXPECT_EQ(told, core::Final::cancelled);
+    w.office.controller.reset();
+}
+
+// What was refused was not carried out: the state before holds and is told.
+TEST(Recorder, ARefusedFinalLeavesTheFormerState) {
+    core::Config config;
+    config.zones = {"a"};
+    config.teams = {{"red", {}, {}}};
+    core::Controller controller(config, 3);
+    controller.accept(job("job-9"), core::WallTime{}, Clock::now());
+    controller.written(controller.changes(8, Clock::now()), 5, Clock::now());
+    ASSERT_TRUE(controller.status("job-9"));
+    controller.cancel("job-9", Clock::now());
+    const auto first = controller.sent(controller.changes(8, Clock::now()));
+    EXPECT_FALSE(controller.status("job-9"));
+    controller.not_executed(first);
+    ASSERT_TRUE(controller.status("job-9"));
+    // After one that got no answer a refused repeat proves nothing.
+    controller.sent(controller.changes(8, Clock::now()));
+    controller.not_executed(controller.sent(controller.changes(8, Clock::now())));
+    EXPECT_FALSE(controller.status("job-9"));
+    controller.written(controller.changes(8, Clock::now()), 6, Clock::now());
+    EXPECT_FALSE(controller.knows("job-9"));
+}
+
 TEST(Acceptor, AcceptsTheOthersWhenOneIsCalledMalformed) {
     auto& w = writing();
     w.service.refuse("job/job-6");
--- a/tests/standin/services.cpp
+++ b/tests/standin/services.cpp
@@ -143,6 +143,15 @@
 }
 
 void StateService::transact(const httplib::Request& request, httplib::Response& response) {
+    std::chrono::milliseconds late{0};
+    {
+        const std::lock_guard lock(mutex_);
+        if (!held_.empty()) {
+            late = held_.front();
+            held_.erase(held_.begin());
+        }
+    }
+    std::this_thread::sleep_for(late);
     const std::lock_guard lock(mutex_);
     expire();
     const auto body = wire::parse_cbor(request.body);
--- a/tests/standin/services.hpp
+++ b/tests/standin/services.hpp
@@ -24,6 +24,11 @@
     // The same service at several ports, so that it can refuse who comes by one of them.
     explicit StateService(const std::vector<int>& ports);
     ~StateService();
+    // The next transactions get their answers this late and are carried out only then, in turn.
+    void hold(std::vector<std::chrono::milliseconds> times) {
+        const std::lock_guard lock(mutex_);
+        held_ = std::move(times);
+    }
     // Answers 503 at that port, and no watch there has news; leases run on.
     void refuse_at(std::size_t port, bool refuse) { fronts_[port]->refuses = refuse; }
     // The same for all, and no lease ends; afterwards each has its full time again.
@@ -55,6 +60,7 @@
     std::map<std::string, Item> items_;
     std::map<std::uint64_t, Lease> leases_;
     std::string refused_;
+    std::vector<std::chrono::milliseconds> held_;
     std::map<std::string, std::uint64_t> deleted_;  // by key: the revision of its deletion
     std::atomic<bool> ending_{false};
     struct Front {
