A controller that may not renew leases starts nothing by direct call

Change: starts go out by direct call only while the controller may renew. Without a test of its own yet.

--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -726,7 +726,9 @@
         if (office_.controller) {
             office_.controller->hold_finals_until(membership_.finals_from());
             office_.controller->cycle(Clock::now());
-            calls = office_.controller->direct_calls(Clock::now());
+            // Guard against ran_cancelled: a former controller went on starting by direct call, in
+            // the session that followed the lease it no longer renewed, what another had cancelled.
+            calls = office_.controller->direct_calls(Clock::now(), may_renew());
             tell_starts(*office_.controller);
             if (office_.takeover_log) office_.takeover_log->look(*office_.controller, Clock::now());
             if (office_.takeover_log && office_.takeover_log->progressed(Clock::now()))
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -76,8 +76,8 @@
     return dispatch_.report(report, now);
 }
 
-std::vector<DirectCall> Controller::direct_calls(TimePoint now) {
-    return dispatch_.direct_calls(now);
+std::vector<DirectCall> Controller::direct_calls(TimePoint now, bool may_start) {
+    return dispatch_.direct_calls(now, may_start);
 }
 
 void Controller::called(const DirectCall& call, CallOutcome outcome, const Report* answer,
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -68,7 +68,7 @@
     // Workers.
     ReportAnswer report(const Report& report, TimePoint now);
     // Direct calls that are due now; each is settled by `called`.
-    std::vector<DirectCall> direct_calls(TimePoint now);
+    std::vector<DirectCall> direct_calls(TimePoint now, bool may_start = true);
     // `answer` is the worker's report, if there was one.
     void called(const DirectCall& call, CallOutcome outcome, const Report* answer, TimePoint now);
 
--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -29,7 +29,7 @@
 
 }  // namespace
 
-std::vector<DirectCall> Dispatch::direct_calls(TimePoint now) {
+std::vector<DirectCall> Dispatch::direct_calls(TimePoint now, bool may_start) {
     std::vector<DirectCall> out;
     for (auto& [name, machine] : fleet_.all()) {
         if (machine.call_out || machine.address.empty() || machine.releasing) continue;
@@ -43,7 +43,7 @@
                 continue;
         } else {
             stop_ready(machine, now, call.orders);
-            start_ready(machine, now, true, call.orders);
+            if (may_start) start_ready(machine, now, true, call.orders);
             if (call.orders.empty()) continue;
         }
         machine.call_out = true;
--- a/src/core/dispatch.hpp
+++ b/src/core/dispatch.hpp
@@ -70,7 +70,7 @@
 
     ReportAnswer report(const Report& report, TimePoint now);
     // Direct calls that are due now; each is settled by `called`.
-    std::vector<DirectCall> direct_calls(TimePoint now);
+    std::vector<DirectCall> direct_calls(TimePoint now, bool may_start);
     // `answer` is the worker's report, if there was one.
     void called(const DirectCall& call, CallOutcome outcome, const Report* answer, TimePoint now);
     // What must leave machines that are taken, returned or failing.
