--- a/tests/office_test.cpp
+++ b/tests/office_test.cpp
@@ -99,5 +99,27 @@
     }
 }
 
+// Guard against ran_cancelled: one that no longer renews leases went on starting by direct call, in
+// its workers' next sessions, what another controller had cancelled.
+TEST(DirectCalls, OneThatMayNotRenewStartsNothing) {
+    const auto now = core::TimePoint{std::chrono::hours(1)};
+    auto controller = loaded();
+    controller->set_types({some_type()});
+    core::Report report;
+    report.machine = "m1";
+    report.address = "10.0.0.1:9000";
+    report.type = "g8";
+    report.zone = "a";
+    report.session = report.seq = report.token = 1;
+    controller->report(report, now);
+    controller->accept(some_job(), core::WallTime{}, now);
+    controller->written(controller->changes(8, now), 5, now);
+    controller->cycle(now);
+    EXPECT_TRUE(controller->direct_calls(now, false).empty());
+    const auto calls = controller->direct_calls(now);
+    ASSERT_EQ(calls.size(), 1U);
+    EXPECT_EQ(calls[0].orders.size(), 1U);
+}
+
 }  // namespace
 }  // namespace bendspindle::app
