--- a/src/app/membership.cpp
+++ b/src/app/membership.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <random>
 #include <thread>
 #include <utility>
@@ -45,6 +46,16 @@
     return lease_.has_value() && Clock::now() < valid_until_;
 }
 
+Membership::Clock::time_point Membership::lease_end() const {
+    const std::lock_guard lock(mutex_);
+    return valid_until_;
+}
+
+bool Membership::knows_view() const {
+    const std::lock_guard lock(mutex_);
+    return knows_view_;
+}
+
 void Membership::suspect(std::uint64_t epoch) {
     const std::lock_guard lock(mutex_);
     if (epoch <= standing_.epoch) return;
@@ -60,9 +71,15 @@
         if (epoch <= standing_.epoch) return;
         was_acting = standing_.acting;
         standing_ = {epoch, steward, false, 0};
+        if (steward.empty()) {
+            steward_seen_ = 0;
+            look_now_ = true;
+            wake_.notify_one();
+        }
     }
     if (!was_acting) return;
-    spdlog::info("{} acts under epoch {}; acting no more", steward, epoch);
+    spdlog::info("{} acts under epoch {}; acting no more", steward.empty() ? "another" : steward,
+                 epoch);
     events_.deposed();
 }
 
@@ -71,6 +88,8 @@
     {
         const std::lock_guard lock(mutex_);
         lease_.reset();
+        // Given up before its time, another may act at once.
+        valid_until_ = std::min(valid_until_, Clock::now());
         was_acting = standing_.acting;
         standing_.acting = false;
         if (was_acting) standing_.steward.clear();
@@ -181,6 +200,7 @@
     if (!parsed) return;
     just_returned_ = false;
     const std::lock_guard lock(mutex_);
+    knows_view_ = true;
     steward_seen_ = steward.entry.stamp;
     if (parsed->epoch >= standing_.epoch) {
         standing_.epoch = parsed->epoch;
@@ -225,6 +245,7 @@
         // The lease that holds the key has been given up meanwhile.
         if (resigned_ || lease_ != self.lease) return;
         standing_ = {next.epoch, name_, true, txn.revision};
+        knows_view_ = true;
         steward_seen_ = txn.revision;
         // Guard: the life before may have ended before it ended the lease of its own former life.
         const auto doubt = view && view->returns > 0
--- a/src/app/membership.hpp
+++ b/src/app/membership.hpp
@@ -45,6 +45,10 @@
     Standing standing() const;
     // Whether no other controller can act yet, judged by this one's own clock.
     bool lease_valid() const;
+    // Up to when that was or will be so.
+    Clock::time_point lease_end() const;
+    // Whether this life has read the view, or written it, in the state service.
+    bool knows_view() const;
     // From when on finals may be recorded. After a return over the key of a former life, that life,
     // if it is not over after all, may believe in its lease for as long as a lease; what it then
     // tells of an open job must not be older than a final told elsewhere.
@@ -54,7 +58,8 @@
     void made_progress();
     // Somebody has proof that another controller acts under a higher epoch.
     void suspect(std::uint64_t epoch);
-    // A sibling's word that it acts. A higher epoch ends this controller's own acting.
+    // A sibling's word who acts; empty: that somebody does. A higher epoch ends this controller's
+    // own acting.
     void heard(std::uint64_t epoch, const std::string& steward);
 
   private:
@@ -84,6 +89,7 @@
     bool resigned_ = false;
     std::uint64_t steward_seen_ = 0;  // stamp of the steward key whose view was read
     std::uint64_t incarnation_ = 0;
+    bool knows_view_ = false;
     bool just_returned_ = true;  // until it acts or sees another act
     bool gave_way_ = false;
     Clock::time_point giving_way_until_{};
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -62,7 +62,9 @@
                                static_cast<double>(settings_.siblings.size() + 1),
                            1.0),
                   polls_in_hand),
-      reach_(settings_.workers.report) {
+      reach_(settings_.workers.report),
+      proof_(settings_.workers, settings_.siblings.size() + 1),
+      last_word_(settings_.workers) {
     for (const auto& sibling : settings_.siblings)
         siblings_[sibling.name] = std::make_unique<io::PeerClient>(sibling.endpoint, peer_limit);
 }
@@ -72,6 +74,10 @@
         const std::lock_guard lock(reach_mutex_);
         reach_.begin(Clock::now());
     }
+    {
+        const std::lock_guard lock(renewals_mutex_);
+        proof_.begin();
+    }
     // Loading runs beside the renewal of the lease, which this thread must not hold up.
     std::thread([this, epoch, steward_stamp, log = TakeoverLog(Clock::now())]() mutable {
         std::unique_ptr<core::Controller> controller;
@@ -174,6 +180,13 @@
 
 void Service::stand_down() {
     const std::lock_guard lock(office_.mutex);
+    // Guard against ran_cancelled: the duty outlives the role. What is not proved gone is stopped
+    // by this controller's answers as a follower.
+    if (office_.controller) {
+        const auto last = word(*office_.controller);
+        const std::lock_guard renewals(renewals_mutex_);
+        last_word_.told(last, Clock::now());
+    }
     office_.controller.reset();
     office_.recorded.notify_all();
 }
@@ -356,6 +369,13 @@
         if (reply.status == 200 && !finals_.get(id)) return busy("the job is not loaded");
         return reply;
     }
+    // Guard against ran_cancelled: a former controller that hears neither the state service nor
+    // this one renewed the leases of its workers through an outage, and nobody was left to end
+    // them. With enough siblings that know who acts it finds none to vouch for it.
+    if (office_.controller->in_doubt(id)) {
+        const std::lock_guard renewals(renewals_mutex_);
+        if (!proof_.known_to_enough()) return busy("the other controllers are being told who acts");
+    }
     office_.controller->cancel(id, Clock::now());
     wait_recorded(lock, [&] {
         if (!office_.controller) return true;
@@ -386,8 +406,13 @@
         reach_.heard(report->machine, from == From::sibling, Clock::now());
     }
     const std::lock_guard lock(office_.mutex);
-    // While records are loaded the lease of the worker lives on, and its token rises.
-    if (!office_.controller) return {200, 0, wire::orders_body(standing.epoch, {})};
+    if (!may_renew()) return busy("another controller may act");
+    // While records are loaded the lease of the worker lives on, and its token rises. Guard against
+    // ran_cancelled: not through an outage that keeps the records from being loaded.
+    if (!office_.controller) {
+        if (!membership_.lease_valid()) return busy("taking over");
+        return {200, 0, wire::orders_body(standing.epoch, {})};
+    }
     const auto before = office_.controller->counts();
     const auto answer = office_.controller->report(*report, Clock::now());
     if (!answer.entitled) return busy("another controller acts");
@@ -425,9 +450,48 @@
     if (auto reply = hand_on(wire::peer::Op::report, report.machine, body);
         reply && reply->status == 200)
         return *reply;
-    // Nor can this controller. The token is still the last one known, so the worker may go on;
-    // whoever acts next confirms it.
-    return {200, 0, wire::orders_body(standing.epoch, {})};
+    return renew_unheard(report, standing.epoch);
+}
+
+// The token is still the last one known, so the worker may go on; whoever acts next confirms it.
+// Guard against ran_cancelled: with nobody who acts such answers kept tasks alive, for as long as
+// an outage lasted, whose users had been told that they are cancelled.
+Reply Service::renew_unheard(const core::Report& report, std::uint64_t epoch) {
+    const auto now = Clock::now();
+    const std::lock_guard lock(renewals_mutex_);
+    if (!last_word_.may_renew(now)) return busy("nobody is known to act");
+    const auto stops = last_word_.stops(report, now);
+    for (const auto& order : stops)
+        spdlog::info("{}: stop {}/{}, cancelled, with nobody at hand who acts", report.machine,
+                     order.job, order.index);
+    return {200, 0, wire::orders_body(epoch, stops)};
+}
+
+bool Service::may_renew() {
+    const auto lease_end = membership_.lease_end();
+    const std::lock_guard lock(renewals_mutex_);
+    return proof_.may_renew(lease_end, Clock::now());
+}
+
+wire::peer::Word Service::word(const core::Controller& controller) {
+    const auto lease_end = membership_.lease_end();
+    const auto now = Clock::now();
+    wire::peer::Word out;
+    {
+        const std::lock_guard lock(renewals_mutex_);
+        out.age = std::chrono::ceil<milliseconds>(now - proof_.sole_until(lease_end, now));
+    }
+    // A machine that has not shown this epoch's token may hold what a former controller cancelled.
+    out.complete = controller.unconfirmed() == 0;
+    out.cancelled = controller.cancelled_on_machines();
+    return out;
+}
+
+Reply Service::tell_word() {
+    if (!membership_.standing().acting) return {membership_.knows_view() ? 421 : 503, 0, {}};
+    const std::lock_guard lock(office_.mutex);
+    if (!office_.controller) return {503, 0, {}};
+    return {200, 0, wire::peer::pack(word(*office_.controller))};
 }
 
 wire::peer::Answer Service::answer_sibling(const wire::peer::Request& request) {
@@ -448,6 +512,9 @@
             membership_.heard(request.epoch, request.id);
             reply.status = 200;
             break;
+        case wire::peer::Op::word:
+            reply = tell_word();
+            break;
     }
     return {static_cast<std::uint16_t>(reply.status), static_cast<std::uint16_t>(reply.retry_after),
             membership_.standing().epoch, std::move(reply.body)};
@@ -464,24 +531,72 @@
            now - last_sibling_answer_.load() < health_memory;
 }
 
-// Tells siblings who acts, so that a former controller that the state service refuses, or that is
-// slow to notice, steps back before workers lose time with it. Said only with a valid lease: it is
-// also the word that the state service answers.
 void Service::announce() {
     for (;;) {
         const auto standing = membership_.standing();
-        if (standing.acting && membership_.lease_valid())
-            for (auto& [name, sibling] : siblings_)
-                if (const auto answer =
-                        sibling->call({wire::peer::Op::view, standing.epoch, settings_.name, {}})) {
-                    last_sibling_answer_ = Clock::now();
-                    if (answer->epoch > standing.epoch) membership_.suspect(answer->epoch);
-                }
+        if (!standing.acting)
+            ask_for_word(standing);
+        else if (membership_.lease_valid())
+            tell_siblings(standing);
+        else
+            ask_for_vouchers(standing);
         if (standing.acting) give_way_if_unreached();
         std::this_thread::sleep_for(announce_every);
     }
 }
 
+// Tells siblings who acts, so that a former controller that the state service refuses, or that is
+// slow to notice, steps back before workers lose time with it. Said only with a valid lease: it is
+// also the word that the state service answers.
+void Service::tell_siblings(const Standing& standing) {
+    for (auto& [name, sibling] : siblings_) {
+        const auto answer =
+            sibling->call({wire::peer::Op::view, standing.epoch, settings_.name, {}});
+        if (!answer) continue;
+        last_sibling_answer_ = Clock::now();
+        if (answer->epoch > standing.epoch) membership_.suspect(answer->epoch);
+        const std::lock_guard lock(renewals_mutex_);
+        if (answer->epoch == standing.epoch && membership_.standing().epoch == standing.epoch)
+            proof_.acknowledged(name);
+    }
+}
+
+// In an outage of the state service nobody else can have taken the role; where it refuses this
+// controller alone, somebody can, and siblings know.
+void Service::ask_for_vouchers(const Standing& standing) {
+    for (auto& [name, sibling] : siblings_) {
+        const auto asked = Clock::now();
+        const auto answer =
+            sibling->call({wire::peer::Op::word, standing.epoch, settings_.name, {}});
+        if (!answer) continue;
+        last_sibling_answer_ = Clock::now();
+        if (answer->epoch > standing.epoch) {
+            membership_.heard(answer->epoch, {});
+            return;
+        }
+        // One that has not read the view since it began may have forgotten a later epoch.
+        if (answer->epoch != standing.epoch || answer->status == 503) continue;
+        const std::lock_guard lock(renewals_mutex_);
+        proof_.vouched(name, asked);
+    }
+}
+
+void Service::ask_for_word(const Standing& standing) {
+    const auto it = siblings_.find(standing.steward);
+    if (it == siblings_.end()) return;
+    const auto asked = Clock::now();
+    const auto answer =
+        it->second->call({wire::peer::Op::word, standing.epoch, settings_.name, {}});
+    if (!answer) return;
+    last_sibling_answer_ = Clock::now();
+    if (answer->epoch > standing.epoch) membership_.suspect(answer->epoch);
+    if (answer->status != 200 || answer->epoch != standing.epoch) return;
+    const auto word = wire::peer::parse_word(answer->body);
+    if (!word) return;
+    const std::lock_guard lock(renewals_mutex_);
+    last_word_.told(*word, asked);
+}
+
 void Service::give_way_if_unreached() {
     {
         const std::lock_guard lock(reach_mutex_);
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -15,6 +15,7 @@
 #include "app/membership.hpp"
 #include "app/office.hpp"
 #include "app/recorder.hpp"
+#include "app/renewals.hpp"
 #include "app/settings.hpp"
 #include "app/state_store.hpp"
 #include "app/visits.hpp"
@@ -57,6 +58,14 @@
     Reply report_elsewhere(const core::Report& report, const std::string& body,
                            const Standing& standing);
 
+    // Without anybody who acts at hand: for a bounded time the worker may go on.
+    Reply renew_unheard(const core::Report& report, std::uint64_t epoch);
+    // Whether this controller, which acts, may renew leases.
+    bool may_renew();
+    // What this controller, which acts with these, tells those that do not.
+    wire::peer::Word word(const core::Controller& controller);
+    Reply tell_word();
+
     bool healthy() const;
     wire::peer::Answer answer_sibling(const wire::peer::Request& request);
 
@@ -70,6 +79,9 @@
     void place();
     static void tell_starts(core::Controller& controller);
     void announce();
+    void tell_siblings(const Standing& standing);
+    void ask_for_vouchers(const Standing& standing);
+    void ask_for_word(const Standing& standing);
     void give_way_if_unreached();
     void stop_when_asked(io::HttpServer& http);
 
@@ -94,6 +106,9 @@
     std::map<std::string, Clock::time_point> failed_until_;
     std::mutex reach_mutex_;
     Reach reach_;
+    std::mutex renewals_mutex_;  // taken while holding the office's, never the other way round
+    RoleProof proof_;
+    LastWord last_word_;
     // When the acting controller last said that it acts.
     std::atomic<Clock::time_point> steward_spoke_{Clock::time_point{}};
 };
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -53,6 +53,11 @@
     bool accept(const JobSpec& spec, WallTime submitted, TimePoint now);
     std::optional<JobStatus> status(const std::string& id) const { return pipelines_.status(id); }
     bool durable(const std::string& id) const;
+    // Whether tasks of it may be on machines that have not shown this epoch's token.
+    bool in_doubt(const std::string& id) const;
+    // Jobs whose user may have been told that they are cancelled, with tasks on machines by our
+    // books.
+    std::vector<std::string> cancelled_on_machines() const;
     // Whether its acceptance here met a record that was there before.
     bool found(const std::string& id) const;
     // Marks a job as cancelled; its record is written next. False: it is done already or unknown.
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -1,5 +1,7 @@
 #include "wire/peer.hpp"
 
+#include <algorithm>
+#include <limits>
 #include <type_traits>
 
 namespace bendspindle::wire::peer {
@@ -7,6 +9,8 @@
 namespace {
 
 constexpr std::uint8_t answer_kind = 0x80;
+// Of a word's list, so that it and the answer's own fields fit into a frame.
+constexpr std::size_t most_word = most_payload - 64;
 
 template <typename Int>
 void put(std::string& out, Int value) {
@@ -80,6 +84,28 @@
     return frame(answer_kind, payload);
 }
 
+std::string pack(const Word& w) {
+    std::string list;
+    std::uint32_t number = 0;
+    bool complete = w.complete;
+    for (const auto& id : w.cancelled) {
+        if (list.size() + sizeof(std::uint16_t) + id.size() > most_word) {
+            complete = false;
+            break;
+        }
+        put<std::uint16_t>(list, static_cast<std::uint16_t>(id.size()));
+        list += id;
+        ++number;
+    }
+    const auto age = std::clamp<std::chrono::milliseconds::rep>(
+        w.age.count(), 0, std::numeric_limits<std::uint32_t>::max());
+    std::string out;
+    put<std::uint32_t>(out, static_cast<std::uint32_t>(age));
+    put<std::uint8_t>(out, complete ? 1 : 0);
+    put<std::uint32_t>(out, number);
+    return out += list;
+}
+
 ParsedHeader parse_header(std::string_view bytes) {
     if (bytes.size() != header_size) return {{}, HeaderError::malformed};
     Reader in(bytes);
@@ -93,7 +119,7 @@
 }
 
 std::optional<Request> parse_request(std::uint8_t kind, std::string_view payload) {
-    if (kind < static_cast<std::uint8_t>(Op::status) || kind > static_cast<std::uint8_t>(Op::view))
+    if (kind < static_cast<std::uint8_t>(Op::status) || kind > static_cast<std::uint8_t>(Op::word))
         return std::nullopt;
     Reader in(payload);
     Request out;
@@ -117,4 +143,18 @@
     return out;
 }
 
+std::optional<Word> parse_word(std::string_view body) {
+    Reader in(body);
+    Word out;
+    out.age = std::chrono::milliseconds(in.get<std::uint32_t>());
+    const auto complete = in.get<std::uint8_t>();
+    const auto number = in.get<std::uint32_t>();
+    if (complete > 1 || number > body.size() / sizeof(std::uint16_t)) return std::nullopt;
+    out.complete = complete == 1;
+    for (std::uint32_t i = 0; i < number; ++i)
+        out.cancelled.push_back(in.text(in.get<std::uint16_t>()));
+    if (!in.finished()) return std::nullopt;
+    return out;
+}
+
 }  // namespace bendspindle::wire::peer
--- a/src/wire/peer.hpp
+++ b/src/wire/peer.hpp
@@ -2,10 +2,12 @@
 // for length before anything is read.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace bendspindle::wire::peer {
 
@@ -13,7 +15,7 @@
 constexpr std::size_t header_size = 8;
 constexpr std::size_t most_payload = 128 * 1024;
 
-enum class Op : std::uint8_t { status = 2, cancel = 3, report = 4, view = 5 };
+enum class Op : std::uint8_t { status = 2, cancel = 3, report = 4, view = 5, word = 6 };
 
 // Frame: u8 version, u8 kind, u16 zero, u32 payload length.
 struct Header {
@@ -44,10 +46,24 @@
     std::string body;
 };
 
+// In the answer to `word` (200) of the controller that acts: which cancelled jobs may still have
+// tasks on machines. 421 without a word: not acting, and knows the view; 503: neither. u32 age in
+// ms, u8 complete, u32 number, and so many of: u16 length, id.
+struct Word {
+    // So long ago nobody else can have confirmed anything.
+    std::chrono::milliseconds age{0};
+    // All confirmed cancellations that may matter are among these, those of former epochs too.
+    bool complete = false;
+    std::vector<std::string> cancelled;
+};
+
 std::string pack(const Request& request);
 std::string pack(const Answer& answer);
+// Leaves out what would not fit into a frame, and is not complete then.
+std::string pack(const Word& word);
 ParsedHeader parse_header(std::string_view bytes);
 std::optional<Request> parse_request(std::uint8_t kind, std::string_view payload);
 std::optional<Answer> parse_answer(std::uint8_t kind, std::string_view payload);
+std::optional<Word> parse_word(std::string_view body);
 
 }  // namespace bendspindle::wire::peer
--- /dev/null
+++ b/tests/renewals_test.cpp
@@ -0,0 +1,136 @@
+// Whether a controller may renew workers' leases after it lost sight of the state service or of the
+// controller that acts, and who may confirm cancellations meanwhile.
+#include "app/renewals.hpp"
+
+#include <gtest/gtest.h>
+
+#include <bit>
+
+namespace bendspindle::app {
+namespace {
+
+using namespace std::chrono_literals;
+const core::TimePoint start{std::chrono::hours(1)};
+
+core::WorkerTimes times() {
+    core::WorkerTimes out;
+    out.lease = 30s;
+    out.cancel = 50s;
+    return out;
+}
+
+core::Report running(const std::string& job) {
+    core::Report out;
+    out.machine = "m1";
+    out.tasks = {{job, 0, 7, core::TaskState::running, core::ExitCause::none, false},
+                 {job, 1, 7, core::TaskState::exited, core::ExitCause::done, false}};
+    return out;
+}
+
+// What is renewed last ends with its lease before the cancellation's time is over.
+TEST(Renewals, ALeaseRenewedWithinTheBoundEndsInTime) {
+    const auto bound = renewal_bound(times());
+    EXPECT_GT(bound, 10s);
+    EXPECT_LT(bound + times().lease, times().cancel);
+}
+
+TEST(RoleProof, HoldsForItsBoundBeyondItsOwnLease) {
+    RoleProof proof(times(), 3);
+    proof.begin();
+    const auto bound = renewal_bound(times());
+    EXPECT_TRUE(proof.may_renew(start + 4s, start));
+    EXPECT_TRUE(proof.may_renew(start, core::later(start, bound)));
+    EXPECT_FALSE(proof.may_renew(start, core::later(start, bound + 1s)));
+}
+
+// In an outage for all: running work outlives it as long as a majority knows of nobody else.
+TEST(RoleProof, LivesOnThroughAnOutageWhileAMajorityVouches) {
+    RoleProof proof(times(), 5);
+    proof.begin();
+    const auto late = start + 300s;
+    proof.vouched("b", late);
+    EXPECT_FALSE(proof.may_renew(start, late)) << "two of five";
+    proof.vouched("c", late - 10s);
+    EXPECT_TRUE(proof.may_renew(start, late));
+    EXPECT_EQ(proof.sole_until(start, late), late - 10s);
+    EXPECT_FALSE(proof.may_renew(start, late + 60s));
+    proof.begin();
+    EXPECT_FALSE(proof.may_renew(start, late));
+}
+
+TEST(RoleProof, OneAloneNeedsNobody) {
+    const RoleProof proof(times(), 1);
+    EXPECT_TRUE(proof.may_renew(start, start + 300s));
+    EXPECT_TRUE(proof.known_to_enough());
+}
+
+// Whoever acknowledged a new epoch is among any majority that could vouch for the former
+// controller, for every number of controllers.
+TEST(RoleProof, AcknowledgementsMeetEveryMajority) {
+    for (unsigned n = 2; n <= 7; ++n) {
+        // Bit 0: the new controller, which acknowledges itself. Bit 1: the former one.
+        for (unsigned told = 0; told < 1U << n; ++told) {
+            if (!(told & 1U) || (told & 2U)) continue;  // told itself, the former one acts no more
+            RoleProof proof(times(), n);
+            proof.begin();
+            for (unsigned i = 2; i < n; ++i)
+                if (told >> i & 1U) proof.acknowledged(std::to_string(i));
+            if (!proof.known_to_enough()) continue;
+            for (unsigned vouch = 0; vouch < 1U << n; ++vouch) {
+                if (!(vouch & 2U)) continue;
+                RoleProof former(times(), n);
+                former.begin();
+                for (unsigned i = 0; i < n; ++i)
+                    if (i != 1 && (vouch >> i & 1U)) former.vouched(std::to_string(i), start);
+                if (!former.may_renew(start - 300s, start)) continue;
+                EXPECT_NE(told & vouch, 0U) << n << " controllers, " << told << ", " << vouch;
+            }
+        }
+    }
+}
+
+// And no more are asked for than that: the end of one of three keeps no cancellation back.
+TEST(RoleProof, OneOfThreeMayBeGone) {
+    RoleProof proof(times(), 3);
+    proof.begin();
+    EXPECT_FALSE(proof.known_to_enough());
+    proof.acknowledged("c");
+    EXPECT_TRUE(proof.known_to_enough());
+}
+
+TEST(LastWord, RenewsForItsBoundAfterACompleteWord) {
+    LastWord last(times());
+    EXPECT_FALSE(last.may_renew(start)) << "nobody has said anything";
+    last.told({2s, true, {}}, start);
+    const auto until = core::later(start - 2s, renewal_bound(times()));
+    EXPECT_TRUE(last.may_renew(until));
+    EXPECT_FALSE(last.may_renew(until + 1ms));
+    // A word that is older takes nothing back.
+    last.told({60s, true, {}}, start + 1s);
+    EXPECT_TRUE(last.may_renew(until));
+}
+
+// Where machines have not shown the token, a former controller's cancellations may be among them.
+TEST(LastWord, AnIncompleteWordStopsButDoesNotRenew) {
+    LastWord last(times());
+    last.told({0s, false, {"job-1"}}, start);
+    EXPECT_FALSE(last.may_renew(start));
+    EXPECT_EQ(last.stops(running("job-1"), start).size(), 1U);
+}
+
+TEST(LastWord, StopsWhatRunsOfCancelledJobsAtOnceAndForgetsThemInTime) {
+    LastWord last(times());
+    last.told({0s, true, {"job-1"}}, start);
+    last.told({0s, true, {}}, start + 1s);  // settled, as far as the acting one knows
+    const auto stops = last.stops(running("job-1"), start + 10s);
+    ASSERT_EQ(stops.size(), 1U);
+    EXPECT_EQ(stops[0].verb, core::Order::Verb::stop);
+    EXPECT_EQ(stops[0].index, 0U);
+    EXPECT_EQ(stops[0].attempt, 7U);
+    EXPECT_EQ(stops[0].grace, 0s);
+    EXPECT_TRUE(last.stops(running("job-2"), start).empty());
+    EXPECT_TRUE(last.stops(running("job-1"), start + 101s).empty());
+}
+
+}  // namespace
+}  // namespace bendspindle::app
