--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -412,11 +412,12 @@
     }
     const std::lock_guard lock(office_.mutex);
     if (!may_renew()) return busy("another controller may act");
-    // While records are loaded the lease of the worker lives on, and its token rises. Guard against
-    // ran_cancelled: not through an outage that keeps the records from being loaded.
+    // Guard against ran_cancelled: before the records are loaded this controller knows no more than
+    // a follower, and renews no more than one. Each of several leaders that follow each other
+    // quickly used to give every machine another lease, and none of them a stop.
     if (!office_.controller) {
         if (!membership_.lease_valid()) return busy("taking over");
-        return {200, 0, wire::orders_body(standing.epoch, {})};
+        return renew_unheard(*report, standing.epoch);
     }
     const auto before = office_.controller->counts();
     const auto answer = office_.controller->report(*report, Clock::now());
@@ -488,11 +489,12 @@
     }
     // A machine that has not shown this epoch's token may hold what a former controller cancelled.
     out.complete = controller.unconfirmed() == 0;
-    out.cancelled = controller.cancelled_on_machines();
+    auto cancelled = controller.jobs_to_end();
     const std::lock_guard lock(renewals_mutex_);
     const auto memory = last_word_.word(now);
     out.memory = memory.memory;
-    for (const auto& job : memory.cancelled) out.cancelled.push_back(job);
+    cancelled.insert(memory.cancelled.begin(), memory.cancelled.end());
+    out.cancelled.assign(cancelled.begin(), cancelled.end());
     return out;
 }
 
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -65,13 +65,6 @@
     return job && fleet_.in_doubt(*job);
 }
 
-std::vector<std::string> Controller::cancelled_on_machines() const {
-    std::vector<std::string> out;
-    for (const auto& [serial, job] : pipelines_.all())
-        if (job->final == Final::cancelled && !job->placed.empty()) out.push_back(job->spec.id);
-    return out;
-}
-
 ReportAnswer Controller::report(const Report& report, TimePoint now) {
     return dispatch_.report(report, now);
 }
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -55,9 +56,9 @@
     bool durable(const std::string& id) const;
     // Whether tasks of it may be on machines that have not shown this epoch's token.
     bool in_doubt(const std::string& id) const;
-    // Jobs whose user may have been told that they are cancelled, with tasks on machines by our
-    // books.
-    std::vector<std::string> cancelled_on_machines() const;
+    // Jobs with tasks on machines whose user may have been told, by this controller or a former
+    // one, that they are cancelled.
+    std::set<std::string> jobs_to_end() const { return dispatch_.jobs_to_end(); }
     // Whether its acceptance here met a record that was there before.
     bool found(const std::string& id) const;
     // Marks a job as cancelled; its record is written next. False: it is done already or unknown.
--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -109,14 +109,20 @@
     // A machine whose release was answered is gone; this report was held up on its way.
     if (fleet_.gone(report.machine)) return answer;
     // Guard against held-up reports and copies: an older list must never replace a newer one, nor
-    // an address or a type, and orders in this answer would reach nobody.
-    if (const auto* known = fleet_.find(report.machine); known && known->has_seen(report))
+    // an address or a type. Where a direct answer has overtaken a report, its worker still takes
+    // this answer as a renewal.
+    if (const auto* known = fleet_.find(report.machine); known && known->has_seen(report)) {
+        stop_finished_jobs(report, answer.orders);
         return answer;
+    }
     auto& machine = fleet_.meet(report, now);
     fleet_.observe(machine, report, now);
     // Guard against ran_twice: until the machine has seen this token, a start of the former
     // epoch may still take effect after the list was made.
-    if (report.token < epoch_) return answer;
+    if (report.token < epoch_) {
+        stop_finished_jobs(report, answer.orders);
+        return answer;
+    }
     fleet_.confirm(machine, now);
     fleet_.heed(machine, report, now);
     reconcile(machine, report, Source::report, now, answer.orders);
@@ -125,12 +131,40 @@
         unbind(machine);
     }
     stop_ready(machine, now, answer.orders);
+    stop_finished_jobs(report, answer.orders);
     start_ready(machine, now, false, answer.orders);
     if (!machine.held.empty()) machine.idle_since = now;
     machine.asked = answer.orders;
     return answer;
 }
 
+// Guard against ran_cancelled over any sequence of leaders: each answer renews the worker's lease, so
+// each orders what must end, also before the machine is confirmed and whatever was ordered before.
+// Otherwise a leader that ends after its answer leaves the task running for one more lease.
+void Dispatch::stop_finished_jobs(const Report& report, std::vector<Order>& orders) const {
+    for (const auto& task : report.tasks) {
+        if (task.state == TaskState::exited || !must_end(task.job)) continue;
+        const auto stop = order_for(Order::Verb::stop, task);
+        if (std::find(orders.begin(), orders.end(), stop) == orders.end()) orders.push_back(stop);
+    }
+}
+
+// All open jobs are in memory before the first report is handled, so an unknown one is over.
+bool Dispatch::must_end(const std::string& id) const {
+    const auto* job = pipelines_.find(id);
+    return job ? job->final == Final::cancelled : !pipelines_.aside(id);
+}
+
+std::set<std::string> Dispatch::jobs_to_end() const {
+    std::set<std::string> out;
+    for (const auto& [serial, job] : pipelines_.all())
+        if (job->final == Final::cancelled && !job->placed.empty()) out.insert(job->spec.id);
+    for (const auto& [name, machine] : fleet_.all())
+        for (const auto& task : machine.tasks)
+            if (task.state != TaskState::exited && must_end(task.job)) out.insert(task.job);
+    return out;
+}
+
 // Most reports say what the one before said. They change nothing unless an order is on its way or
 // an exited task waits for its done-set.
 bool Dispatch::nothing_new(const Machine& machine, const Report& report) const {
--- a/src/core/dispatch.hpp
+++ b/src/core/dispatch.hpp
@@ -77,6 +77,9 @@
     void drain(TimePoint now);
     // The release of a machine was answered.
     void released(const std::string& name);
+    // Jobs that are over, as far as they are known, with tasks on machines by the books or by the
+    // last report: whoever renews the leases of these machines has to stop them.
+    std::set<std::string> jobs_to_end() const;
     const DispatchCounts& counts() const { return counts_; }
     // Jobs that have started since the last call.
     std::vector<StartStory> take_started() { return std::exchange(started_, {}); }
@@ -96,6 +99,8 @@
     void adopt(Machine& machine, Job& job, const ReportedTask& task, TimePoint now);
     void settle_absent(Machine& machine, const std::vector<HeldKey>& held, const Report& report,
                        Source source, const Seen& seen, TimePoint now, std::vector<Order>& orders);
+    void stop_finished_jobs(const Report& report, std::vector<Order>& orders) const;
+    bool must_end(const std::string& id) const;
     void note_start(Job& job, TimePoint now);
     void count_strays(Machine& machine) const;
     void task_exited(Machine& machine, Job& job, const ReportedTask& task, TimePoint now);
--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -156,6 +156,7 @@
     std::uint32_t index = 0;
     std::uint64_t attempt = 0;
     Seconds grace{0};
+    bool operator==(const Order&) const = default;
 };
 
 enum class MachineStage : std::uint8_t { booting, running, failed };
