--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -138,9 +138,9 @@
     return answer;
 }
 
-// Guard against ran_cancelled over any sequence of leaders: each answer renews the worker's lease, so
-// each orders what must end, also before the machine is confirmed and whatever was ordered before.
-// Otherwise a leader that ends after its answer leaves the task running for one more lease.
+// Guard against ran_cancelled over any sequence of leaders: each answer renews the worker's lease,
+// so each orders what must end, also before the machine is confirmed and whatever was ordered
+// before. Otherwise a leader that ends after its answer leaves the task running for one more lease.
 void Dispatch::stop_finished_jobs(const Report& report, std::vector<Order>& orders) const {
     for (const auto& task : report.tasks) {
         if (task.state == TaskState::exited || !must_end(task.job)) continue;
@@ -204,8 +204,8 @@
     // All open jobs are in memory before the first report is handled, so an unknown one is
     // over, and nothing of it is wanted.
     if (!job || task.index >= job->spec.tasks) {
-        // Guard against ran_cancelled: a copy of its start in a direct call may still arrive, half a
-        // minute after the cancellation, and would start it had the worker forgotten the attempt.
+        // Guard against ran_cancelled: a copy of its start in a direct call may still arrive, half
+        // a minute after the cancellation, and would start it had the worker forgotten the attempt.
         if (exited && machine.unanswered.contains({task.job, task.attempt})) return;
         orders.push_back(order_for(exited ? Order::Verb::forget : Order::Verb::stop, task));
         return;
