app: cancellation replication and the calls to peers are modules of their own

Cause: what controllers tell each other about cancellations was spread over Service: a mutex, RoleProof, LastWord, eleven functions, and the rest of a peer that failed, shared with hand_on. It could not be driven without sockets, threads and the clock.

Change: `Peers` (app/peers) owns the calls to peers, the rest after a failure and the time of the last contact. `CancellationReplication` (app/cancellation_replication) owns the lock, RoleProof and LastWord, tells and asks peers each second, and reads the role through the interface `Role` (app/role), which Membership implements. The time and the calls are passed in. Asking for vouchers and asking the followers are one loop. Frames between peers and stored bytes are unchanged. One difference: an answer to "about to confirm" now counts as contact with a peer, as every other answer did; the leader that asks has contact each second anyway.

--- /dev/null
+++ b/src/app/cancellation_replication.hpp
@@ -0,0 +1,89 @@
+// What controllers tell each other so that a confirmed cancellation ends the tasks whoever is lost
+// (docs/troubles.md, "What a confirmed cancellation needs").
+//
+//  - The leader tells its peers that it acts, and each job that it is about to call cancelled. Once
+//    its lease in the state service is no longer valid it asks them whether they know of another.
+//  - A follower asks the leader, or with that one lost the other followers, what is cancelled.
+//
+// From this each knows whether it may renew the leases of workers and what its answers stop. The
+// decisions are those of `RoleProof` and `LastWord`; this class calls peers and answers them, and
+// holds its lock across no call. The time and the calls are passed in.
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "app/clock.hpp"
+#include "app/peers.hpp"
+#include "app/renewals.hpp"
+#include "app/reply.hpp"
+#include "app/role.hpp"
+#include "core/controller.hpp"
+
+namespace bendspindle::app {
+
+// What the leader's records in memory say.
+struct CancelledJobs {
+    // No machine may hold what a former leader cancelled.
+    bool complete = false;
+    std::vector<std::string> jobs;  // with tasks on machines
+};
+CancelledJobs cancelled_jobs(const core::Controller& controller);
+
+class CancellationReplication {
+  public:
+    // `name`: this controller's. `role` and `peers` outlive this.
+    CancellationReplication(std::string name, const core::WorkerTimes& workers, Role& role,
+                            Peers& peers, ClockFunction clock = steady_clock());
+
+    // This controller has become the leader.
+    void took_over();
+    // It is the leader no more. Guard against ran_cancelled: the duty outlives the role. What is
+    // not proved gone is stopped by this controller's answers as a follower.
+    void stood_down(const CancelledJobs& own);
+    // Tells or asks the peers, once a second.
+    void round();
+
+    // Whether the leader may renew leases of workers.
+    bool may_renew() const;
+    // A worker's report at a follower, with the leader out of reach: the stops to answer, if its
+    // lease may be renewed.
+    std::optional<std::vector<core::Order>> renew_unheard(const core::Report& report) const;
+
+    // Tells peers that a job is about to be called cancelled. False: too few of them know of it.
+    bool tell_cancelled(const std::string& job, std::uint64_t epoch);
+    // Whether a former leader can no longer find a majority that vouches for it.
+    bool known_to_enough() const;
+
+    // What peers are answered: to the leader that tells a cancelled job, and to one that asks what
+    // is cancelled, by the leader (with what it has in memory) and by a follower.
+    Reply hear_cancelled(const std::string& job, std::uint64_t epoch);
+    Reply word_of_leader(const std::string& peer, const CancelledJobs& own);
+    Reply word_of_follower() const;
+
+  private:
+    using Answered =
+        std::function<void(const std::string& peer, const wire::peer::Answer&, core::TimePoint)>;
+
+    void tell_peers(const Standing& standing);
+    void ask_for_vouchers(const Standing& standing);
+    void ask_for_word(const Standing& standing);
+    bool ask_leader(const Standing& standing);
+    void ask_followers(const Standing& standing);
+    void ask_all_but_leader(const Standing& standing, const Answered& answered);
+    wire::peer::Word own_word(const CancelledJobs& own) const;
+
+    const std::string name_;
+    Role& role_;
+    Peers& peers_;
+    const ClockFunction clock_;
+    mutable std::mutex mutex_;  // taken while holding the office's, never the other way round
+    RoleProof proof_;
+    LastWord last_word_;
+};
+
+}  // namespace bendspindle::app
--- a/src/app/membership.hpp
+++ b/src/app/membership.hpp
@@ -9,20 +9,14 @@
 #include <optional>
 #include <string>
 
+#include "app/role.hpp"
 #include "app/state_store.hpp"
 #include "app/succession.hpp"
 #include "core/types.hpp"
 
 namespace bendspindle::app {
 
-struct Standing {
-    std::uint64_t epoch = 0;  // of the last view known; 0: none
-    std::string steward;      // who acts, as far as known; empty: nobody
-    bool acting = false;      // this controller
-    std::uint64_t steward_stamp = 0;
-};
-
-class Membership {
+class Membership : public Role {
   public:
     using Clock = std::chrono::steady_clock;
     struct Events {
@@ -42,13 +36,10 @@
     // The same for a while: if nobody else acts, this controller does again.
     void give_way();
 
-    Standing standing() const;
-    // Whether no other controller can act yet, judged by this one's own clock.
-    bool lease_valid() const;
-    // Up to when that was or will be so.
-    Clock::time_point lease_end() const;
-    // Whether this life has read the view, or written it, in the state service.
-    bool knows_view() const;
+    Standing standing() const override;
+    bool lease_valid() const override;
+    core::TimePoint lease_end() const override;
+    bool knows_view() const override;
     // From when on finals may be recorded. After a return over the key of a former life, that life,
     // if it is not over after all, may believe in its lease for as long as a lease; what it then
     // tells of an open job must not be older than a final told elsewhere.
@@ -56,11 +47,8 @@
     // What this controller does as the one that acts gets somewhere: its next life may return at
     // once.
     void made_progress();
-    // Somebody has proof that another controller acts under a higher epoch.
-    void suspect(std::uint64_t epoch);
-    // A sibling's word who acts; empty: that somebody does. A higher epoch ends this controller's
-    // own acting.
-    void heard(std::uint64_t epoch, const std::string& steward);
+    void suspect(std::uint64_t epoch) override;
+    void heard(std::uint64_t epoch, const std::string& steward) override;
 
   private:
     void renew();
--- /dev/null
+++ b/src/app/peers.cpp
@@ -0,0 +1,72 @@
+#include "app/peers.hpp"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "io/peer_link.hpp"
+
+namespace bendspindle::app {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds call_limit{1500};
+// A peer that did not answer is not tried again for this long.
+constexpr milliseconds rest_after_failure{1000};
+
+}  // namespace
+
+Peers::Peers(std::vector<std::string> names, Link link, ClockFunction clock)
+    : names_(std::move(names)), link_(std::move(link)), clock_(std::move(clock)) {}
+
+bool Peers::knows(const std::string& name) const {
+    return std::find(names_.begin(), names_.end(), name) != names_.end();
+}
+
+std::optional<wire::peer::Answer> Peers::call(const std::string& name,
+                                              const wire::peer::Request& request) {
+    auto answer = link_(name, request);
+    if (answer) last_contact_ = clock_();
+    return answer;
+}
+
+std::optional<wire::peer::Answer> Peers::call_unless_resting(const std::string& name,
+                                                             const wire::peer::Request& request) {
+    if (resting(name)) return std::nullopt;
+    auto answer = call(name, request);
+    if (!answer) rest(name);
+    return answer;
+}
+
+bool Peers::resting(const std::string& name) {
+    const std::lock_guard lock(mutex_);
+    const auto until = resting_until_.find(name);
+    return until != resting_until_.end() && clock_() < until->second;
+}
+
+void Peers::rest(const std::string& name) {
+    const std::lock_guard lock(mutex_);
+    resting_until_[name] = clock_() + rest_after_failure;
+}
+
+std::vector<std::string> peer_names(const Settings& settings) {
+    std::vector<std::string> out;
+    for (const auto& sibling : settings.siblings) out.push_back(sibling.name);
+    std::sort(out.begin(), out.end());
+    out.erase(std::unique(out.begin(), out.end()), out.end());
+    return out;
+}
+
+Peers::Link socket_link(const Settings& settings) {
+    using Clients = std::map<std::string, io::PeerClient>;
+    const auto clients = std::make_shared<Clients>();
+    for (const auto& sibling : settings.siblings)
+        clients->try_emplace(sibling.name, sibling.endpoint, call_limit);
+    return [clients](const std::string& name, const wire::peer::Request& request) {
+        return clients->at(name).call(request);
+    };
+}
+
+}  // namespace bendspindle::app
--- /dev/null
+++ b/src/app/peers.hpp
@@ -0,0 +1,60 @@
+// The other controllers: calls to them, a rest for one that did not answer, and when one was last
+// heard. How a call goes out is passed in (sockets, or a simulation).
+#pragma once
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "app/clock.hpp"
+#include "app/settings.hpp"
+#include "wire/peer.hpp"
+
+namespace bendspindle::app {
+
+class Peers {
+  public:
+    // Calls one peer by its name; none: no answer, the peer may have acted all the same.
+    using Link = std::function<std::optional<wire::peer::Answer>(const std::string& name,
+                                                                 const wire::peer::Request&)>;
+
+    Peers(std::vector<std::string> names, Link link, ClockFunction clock = steady_clock());
+
+    // In order.
+    const std::vector<std::string>& names() const { return names_; }
+    bool knows(const std::string& name) const;
+    std::optional<wire::peer::Answer> call(const std::string& name,
+                                           const wire::peer::Request& request);
+    // The same, but a peer that has just failed to answer such a call is not called for a while.
+    // Guard against all threads waiting for one that stands still: each poll did, for 1.5 s, while
+    // connections piled up until no socket was left.
+    std::optional<wire::peer::Answer> call_unless_resting(const std::string& name,
+                                                          const wire::peer::Request& request);
+    // A peer has called.
+    void was_called() { last_contact_ = clock_(); }
+    // When a peer was last heard, by its answer or its call.
+    core::TimePoint last_contact() const { return last_contact_.load(); }
+
+  private:
+    bool resting(const std::string& name);
+    void rest(const std::string& name);
+
+    const std::vector<std::string> names_;
+    const Link link_;
+    const ClockFunction clock_;
+    std::atomic<core::TimePoint> last_contact_{core::TimePoint{}};
+    std::mutex mutex_;
+    std::map<std::string, core::TimePoint> resting_until_;
+};
+
+// The names of the peers in the settings, in order.
+std::vector<std::string> peer_names(const Settings& settings);
+// Calls over sockets, to the addresses in the settings.
+Peers::Link socket_link(const Settings& settings);
+
+}  // namespace bendspindle::app
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -16,14 +16,11 @@
 using std::chrono::seconds;
 
 constexpr const char* cbor = "application/cbor";
-constexpr milliseconds peer_limit{1500};
 constexpr milliseconds record_limit{2500};  // users give up after 5 s
 constexpr seconds health_memory{6};
 // Of the requests that the state service takes, for reading what users ask about.
 constexpr double share_for_polls = 0.85;
 constexpr seconds polls_in_hand{2};  // about a lease without anybody who acts, on a usual day
-// A sibling that did not answer is not tried again for this long.
-constexpr milliseconds sibling_rest{1000};
 // The one that acts speaks each second, the state service is asked each second.
 constexpr milliseconds own_trouble{2500};
 constexpr milliseconds least_between_cycles{250};
@@ -53,6 +50,8 @@
       membership_(store_, settings_.name, own_.lease,
                   {[this](std::uint64_t epoch, std::uint64_t stamp) { take_over(epoch, stamp); },
                    [this] { stand_down(); }}),
+      peers_(peer_names(settings_), socket_link(settings_)),
+      replication_(settings_.name, settings_.workers, membership_, peers_),
       recorder_(office_, store_, finals_, settings_.state_limits),
       acceptor_(store_, settings_.state_limits),
       cloud_(office_, settings_, [this] { return membership_.lease_valid(); }),
@@ -62,22 +61,14 @@
                                static_cast<double>(settings_.siblings.size() + 1),
                            1.0),
                   polls_in_hand),
-      reach_(settings_.workers.report),
-      proof_(settings_.workers, settings_.siblings.size() + 1),
-      last_word_(settings_.workers, settings_.siblings.size() + 1) {
-    for (const auto& sibling : settings_.siblings)
-        siblings_[sibling.name] = std::make_unique<io::PeerClient>(sibling.endpoint, peer_limit);
-}
+      reach_(settings_.workers.report) {}
 
 void Service::take_over(std::uint64_t epoch, std::uint64_t steward_stamp) {
     {
         const std::lock_guard lock(reach_mutex_);
         reach_.begin(Clock::now());
     }
-    {
-        const std::lock_guard lock(renewals_mutex_);
-        proof_.begin(Clock::now());
-    }
+    replication_.took_over();
     // Loading runs beside the renewal of the lease, which this thread must not hold up.
     std::thread([this, epoch, steward_stamp, log = TakeoverLog(Clock::now())]() mutable {
         std::unique_ptr<core::Controller> controller;
@@ -180,13 +171,7 @@
 
 void Service::stand_down() {
     const std::lock_guard lock(office_.mutex);
-    // Guard against ran_cancelled: the duty outlives the role. What is not proved gone is stopped
-    // by this controller's answers as a follower.
-    if (office_.controller) {
-        const auto last = word(*office_.controller);
-        const std::lock_guard renewals(renewals_mutex_);
-        last_word_.told(last, Clock::now());
-    }
+    if (office_.controller) replication_.stood_down(cancelled_jobs(*office_.controller));
     office_.controller.reset();
     office_.recorded.notify_all();
 }
@@ -200,22 +185,10 @@
 std::optional<Reply> Service::hand_on(wire::peer::Op op, const std::string& id,
                                       const std::string& body) {
     const auto standing = membership_.standing();
-    const auto it = siblings_.find(standing.steward);
-    if (it == siblings_.end()) return std::nullopt;
-    // Guard against all threads waiting for one that stands still: each poll did, for 1.5 s, while
-    // connections piled up until no socket was left.
-    {
-        const std::lock_guard lock(failed_mutex_);
-        const auto failed = failed_until_.find(it->first);
-        if (failed != failed_until_.end() && Clock::now() < failed->second) return std::nullopt;
-    }
-    const auto answer = it->second->call({op, standing.epoch, id, body});
-    if (!answer) {
-        const std::lock_guard lock(failed_mutex_);
-        failed_until_[it->first] = Clock::now() + sibling_rest;
-        return std::nullopt;
-    }
-    last_sibling_answer_ = Clock::now();
+    if (!peers_.knows(standing.steward)) return std::nullopt;
+    const auto answer =
+        peers_.call_unless_resting(standing.steward, {op, standing.epoch, id, body});
+    if (!answer) return std::nullopt;
     if (answer->epoch > standing.epoch) membership_.suspect(answer->epoch);
     return Reply{answer->status, answer->retry_after, answer->body};
 }
@@ -371,16 +344,15 @@
     }
     const auto epoch = office_.controller->epoch();
     lock.unlock();
-    if (!tell_cancelled(id, epoch)) return busy("the other controllers cannot be told");
+    if (!replication_.tell_cancelled(id, epoch))
+        return busy("the other controllers cannot be told");
     lock.lock();
     if (!office_.controller || office_.controller->epoch() != epoch) return busy("taking over");
     // Guard against ran_cancelled: a former controller that hears neither the state service nor
     // this one renewed the leases of its workers through an outage, and nobody was left to end
     // them. With enough siblings that know who acts it finds none to vouch for it.
-    if (office_.controller->in_doubt(id)) {
-        const std::lock_guard renewals(renewals_mutex_);
-        if (!proof_.known_to_enough()) return busy("the other controllers are being told who acts");
-    }
+    if (office_.controller->in_doubt(id) && !replication_.known_to_enough())
+        return busy("the other controllers are being told who acts");
     office_.controller->cancel(id, Clock::now());
     wait_recorded(lock, [&] {
         if (!office_.controller) return true;
@@ -411,7 +383,7 @@
         reach_.heard(report->machine, from == From::sibling, Clock::now());
     }
     const std::lock_guard lock(office_.mutex);
-    if (!may_renew()) return busy("another controller may act");
+    if (!replication_.may_renew()) return busy("another controller may act");
     // While records are loaded the lease of the worker lives on, and its token rises. Guard against
     // ran_cancelled: not through an outage that keeps the records from being loaded.
     if (!office_.controller) {
@@ -462,98 +434,23 @@
 // Guard against ran_cancelled: with nobody who acts such answers kept tasks alive, for as long as
 // an outage lasted, whose users had been told that they are cancelled.
 Reply Service::renew_unheard(const core::Report& report, std::uint64_t epoch) {
-    const auto now = Clock::now();
-    const std::lock_guard lock(renewals_mutex_);
-    if (!last_word_.may_renew(now)) return busy("nobody is known to act");
-    const auto stops = last_word_.stops(report, now);
-    for (const auto& order : stops)
+    const auto stops = replication_.renew_unheard(report);
+    if (!stops) return busy("nobody is known to act");
+    for (const auto& order : *stops)
         spdlog::info("{}: stop {}/{}, cancelled, with nobody at hand who acts", report.machine,
                      order.job, order.index);
-    return {200, 0, wire::orders_body(epoch, stops)};
-}
-
-bool Service::may_renew() {
-    const auto lease_end = membership_.lease_end();
-    const std::lock_guard lock(renewals_mutex_);
-    return proof_.may_renew(lease_end, Clock::now());
-}
-
-wire::peer::Word Service::word(const core::Controller& controller) {
-    const auto lease_end = membership_.lease_end();
-    const auto now = Clock::now();
-    wire::peer::Word out;
-    {
-        const std::lock_guard lock(renewals_mutex_);
-        out.age = std::chrono::ceil<milliseconds>(now - proof_.sole_until(lease_end, now));
-    }
-    // A machine that has not shown this epoch's token may hold what a former controller cancelled.
-    out.complete = controller.unconfirmed() == 0;
-    out.cancelled = controller.cancelled_on_machines();
-    const std::lock_guard lock(renewals_mutex_);
-    const auto memory = last_word_.word(now);
-    out.memory = memory.memory;
-    for (const auto& job : memory.cancelled) out.cancelled.push_back(job);
-    return out;
+    return {200, 0, wire::orders_body(epoch, *stops)};
 }
 
 Reply Service::tell_word(const std::string& sibling) {
-    if (!membership_.standing().acting) {
-        if (!membership_.knows_view()) return {503, 0, {}};
-        const std::lock_guard lock(renewals_mutex_);
-        return {421, 0, wire::peer::pack(last_word_.word(Clock::now()))};
-    }
+    if (!membership_.standing().acting) return replication_.word_of_follower();
     const std::lock_guard lock(office_.mutex);
     if (!office_.controller) return {503, 0, {}};
-    const auto told = word(*office_.controller);
-    const std::lock_guard renewals(renewals_mutex_);
-    proof_.gave_word(sibling, Clock::now());
-    return {200, 0, wire::peer::pack(told)};
-}
-
-// Guard against ran_cancelled: with the one that confirmed lost in an outage, nobody knew what to
-// stop. Siblings know before the user does, enough of them for any majority to have one that knows.
-bool Service::tell_cancelled(const std::string& id, std::uint64_t epoch) {
-    {
-        const std::lock_guard lock(renewals_mutex_);
-        last_word_.cancelled(id, Clock::now());
-    }
-    std::set<std::string> told;
-    std::set<std::string> all;
-    for (const auto& [name, sibling] : siblings_) all.insert(name);
-    const auto enough = [&] {
-        const std::lock_guard lock(renewals_mutex_);
-        return proof_.may_confirm(told, all, Clock::now());
-    };
-    for (auto& [name, sibling] : siblings_) {
-        if (enough()) return true;
-        {
-            const std::lock_guard lock(failed_mutex_);
-            const auto failed = failed_until_.find(name);
-            if (failed != failed_until_.end() && Clock::now() < failed->second) continue;
-        }
-        const auto answer = sibling->call({wire::peer::Op::cancelled, epoch, id, {}});
-        if (!answer) {
-            const std::lock_guard lock(failed_mutex_);
-            failed_until_[name] = Clock::now() + sibling_rest;
-            continue;
-        }
-        if (answer->epoch > epoch) membership_.suspect(answer->epoch);
-        if (answer->status == 200) told.insert(name);
-    }
-    return enough();
-}
-
-Reply Service::hear_cancelled(const std::string& id, std::uint64_t epoch) {
-    // What nobody has read the view for, or who knows better, keeps no promise.
-    if (!membership_.knows_view()) return {503, 0, {}};
-    if (epoch < membership_.standing().epoch) return {421, 0, {}};
-    const std::lock_guard lock(renewals_mutex_);
-    last_word_.cancelled(id, Clock::now());
-    return {200, 0, {}};
+    return replication_.word_of_leader(sibling, cancelled_jobs(*office_.controller));
 }
 
 wire::peer::Answer Service::answer_sibling(const wire::peer::Request& request) {
-    last_sibling_answer_ = Clock::now();
+    peers_.was_called();
     Reply reply;
     switch (request.op) {
         case wire::peer::Op::status:
@@ -574,7 +471,7 @@
             reply = tell_word(request.id);
             break;
         case wire::peer::Op::cancelled:
-            reply = hear_cancelled(request.id, request.epoch);
+            reply = replication_.hear_cancelled(request.id, request.epoch);
             break;
     }
     return {static_cast<std::uint16_t>(reply.status), static_cast<std::uint16_t>(reply.retry_after),
@@ -588,108 +485,17 @@
     // state service and says so, this one has it not. In an outage for all nobody says so.
     if (now - store_.last_ok() > own_trouble && now - steward_spoke_.load() < own_trouble)
         return false;
-    return now - store_.last_ok() < health_memory ||
-           now - last_sibling_answer_.load() < health_memory;
+    return now - store_.last_ok() < health_memory || now - peers_.last_contact() < health_memory;
 }
 
 void Service::announce() {
     for (;;) {
-        if (membership_.knows_view()) {
-            const std::lock_guard lock(renewals_mutex_);
-            last_word_.begin(Clock::now());
-        }
-        const auto standing = membership_.standing();
-        if (!standing.acting)
-            ask_for_word(standing);
-        else if (membership_.lease_valid())
-            tell_siblings(standing);
-        else
-            ask_for_vouchers(standing);
-        if (standing.acting) give_way_if_unreached();
+        replication_.round();
+        if (membership_.standing().acting) give_way_if_unreached();
         std::this_thread::sleep_for(announce_every);
     }
 }
 
-// Tells siblings who acts, so that a former controller that the state service refuses, or that is
-// slow to notice, steps back before workers lose time with it. Said only with a valid lease: it is
-// also the word that the state service answers.
-void Service::tell_siblings(const Standing& standing) {
-    for (auto& [name, sibling] : siblings_) {
-        const auto answer =
-            sibling->call({wire::peer::Op::view, standing.epoch, settings_.name, {}});
-        if (!answer) continue;
-        last_sibling_answer_ = Clock::now();
-        if (answer->epoch > standing.epoch) membership_.suspect(answer->epoch);
-        const std::lock_guard lock(renewals_mutex_);
-        if (answer->epoch == standing.epoch && membership_.standing().epoch == standing.epoch)
-            proof_.acknowledged(name);
-    }
-}
-
-// In an outage of the state service nobody else can have taken the role; where it refuses this
-// controller alone, somebody can, and siblings know.
-void Service::ask_for_vouchers(const Standing& standing) {
-    for (auto& [name, sibling] : siblings_) {
-        const auto asked = Clock::now();
-        const auto answer =
-            sibling->call({wire::peer::Op::word, standing.epoch, settings_.name, {}});
-        if (!answer) continue;
-        last_sibling_answer_ = Clock::now();
-        if (answer->epoch > standing.epoch) {
-            membership_.heard(answer->epoch, {});
-            return;
-        }
-        // One that has not read the view since it began may have forgotten a later epoch.
-        if (answer->epoch != standing.epoch || answer->status == 503) continue;
-        const std::lock_guard lock(renewals_mutex_);
-        proof_.vouched(name, asked);
-    }
-}
-
-// The word of the one that acts, or else those of the others: with that one lost in an outage, what
-// runs goes on by what they remember together.
-void Service::ask_for_word(const Standing& standing) {
-    if (standing.epoch == 0) return;
-    if (!ask_who_acts(standing)) ask_the_others(standing);
-}
-
-bool Service::ask_who_acts(const Standing& standing) {
-    const auto it = siblings_.find(standing.steward);
-    if (it == siblings_.end()) return false;
-    const auto asked = Clock::now();
-    const auto answer =
-        it->second->call({wire::peer::Op::word, standing.epoch, settings_.name, {}});
-    if (!answer) return false;
-    last_sibling_answer_ = Clock::now();
-    if (answer->epoch > standing.epoch) membership_.suspect(answer->epoch);
-    if (answer->status != 200 || answer->epoch != standing.epoch) return false;
-    const auto word = wire::peer::parse_word(answer->body);
-    if (!word) return false;
-    const std::lock_guard lock(renewals_mutex_);
-    last_word_.told(*word, asked);
-    return true;
-}
-
-void Service::ask_the_others(const Standing& standing) {
-    for (auto& [name, sibling] : siblings_) {
-        if (name == standing.steward) continue;
-        const auto asked = Clock::now();
-        const auto answer =
-            sibling->call({wire::peer::Op::word, standing.epoch, settings_.name, {}});
-        if (!answer) continue;
-        last_sibling_answer_ = Clock::now();
-        if (answer->epoch > standing.epoch) {
-            membership_.heard(answer->epoch, {});
-            return;
-        }
-        if (answer->epoch != standing.epoch || answer->status == 503) continue;
-        const auto word = wire::peer::parse_word(answer->body);
-        if (!word) continue;
-        const std::lock_guard lock(renewals_mutex_);
-        last_word_.answered(name, *word, asked);
-    }
-}
-
 void Service::give_way_if_unreached() {
     {
         const std::lock_guard lock(reach_mutex_);
@@ -728,7 +534,7 @@
             office_.controller->cycle(Clock::now());
             // Guard against ran_cancelled: a former controller went on starting by direct call, in
             // the session that followed the lease it no longer renewed, what another had cancelled.
-            calls = office_.controller->direct_calls(Clock::now(), may_renew());
+            calls = office_.controller->direct_calls(Clock::now(), replication_.may_renew());
             tell_starts(*office_.controller);
             if (office_.takeover_log) office_.takeover_log->look(*office_.controller, Clock::now());
             if (office_.takeover_log && office_.takeover_log->progressed(Clock::now()))
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <atomic>
-#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -10,12 +9,14 @@
 
 #include "app/acceptor.hpp"
 #include "app/allowance.hpp"
+#include "app/cancellation_replication.hpp"
 #include "app/cloud_desk.hpp"
 #include "app/courier.hpp"
 #include "app/membership.hpp"
 #include "app/office.hpp"
+#include "app/peers.hpp"
 #include "app/recorder.hpp"
-#include "app/renewals.hpp"
+#include "app/reply.hpp"
 #include "app/settings.hpp"
 #include "app/state_store.hpp"
 #include "app/visits.hpp"
@@ -24,12 +25,6 @@
 
 namespace bendspindle::app {
 
-struct Reply {
-    int status = 503;
-    int retry_after = 0;  // seconds; 0: none
-    std::string body;
-};
-
 class Service {
   public:
     Service(Settings settings, OperatorSettings own);
@@ -60,14 +55,7 @@
 
     // Without anybody who acts at hand: for a bounded time the worker may go on.
     Reply renew_unheard(const core::Report& report, std::uint64_t epoch);
-    // Whether this controller, which acts, may renew leases.
-    bool may_renew();
-    // What this controller, which acts with these, tells those that do not.
-    wire::peer::Word word(const core::Controller& controller);
     Reply tell_word(const std::string& sibling);
-    // Whether a cancellation may be confirmed after it: enough siblings know of it.
-    bool tell_cancelled(const std::string& id, std::uint64_t epoch);
-    Reply hear_cancelled(const std::string& id, std::uint64_t epoch);
 
     bool healthy() const;
     wire::peer::Answer answer_sibling(const wire::peer::Request& request);
@@ -82,11 +70,6 @@
     void place();
     static void tell_starts(core::Controller& controller);
     void announce();
-    void tell_siblings(const Standing& standing);
-    void ask_for_vouchers(const Standing& standing);
-    void ask_for_word(const Standing& standing);
-    bool ask_who_acts(const Standing& standing);
-    void ask_the_others(const Standing& standing);
     void give_way_if_unreached();
     void stop_when_asked(io::HttpServer& http);
 
@@ -96,24 +79,18 @@
     Office office_;
     FinalCache finals_;
     Membership membership_;
+    Peers peers_;
+    CancellationReplication replication_;
     Recorder recorder_;
     Acceptor acceptor_;
     CloudDesk cloud_;
     Courier courier_;
-    std::map<std::string, std::unique_ptr<io::PeerClient>> siblings_;
-    std::atomic<Clock::time_point> last_sibling_answer_{Clock::time_point{}};
     std::mutex visits_mutex_;
     Visits visits_;
     std::mutex reads_mutex_;
     Allowance poll_reads_;
-    // Siblings of which a call has just failed, and until when none is tried.
-    std::mutex failed_mutex_;
-    std::map<std::string, Clock::time_point> failed_until_;
     std::mutex reach_mutex_;
     Reach reach_;
-    std::mutex renewals_mutex_;  // taken while holding the office's, never the other way round
-    RoleProof proof_;
-    LastWord last_word_;
     // When the acting controller last said that it acts.
     std::atomic<Clock::time_point> steward_spoke_{Clock::time_point{}};
 };
