app: membership without sockets and clock; reports of workers have a module of their own

Cause: terms could be simulated with Membership only over sockets and in real time, and what a report is answered stood in Service, next to threads and sockets.

Change: StateStore is an interface, HttpStateStore the real one. Membership takes the clock as a function. `ReportDesk` (app/report_desk) answers reports, as leader and as follower; handing a request on to the leader (`hand_to_leader`) is shared with questions and cancellations. Behaviour, frames and stored bytes are unchanged.

--- a/src/app/membership.cpp
+++ b/src/app/membership.cpp
@@ -30,8 +30,13 @@
 
 }  // namespace
 
-Membership::Membership(StateStore& store, std::string name, core::Seconds lease, Events events)
-    : store_(store), name_(std::move(name)), lease_time_(lease), events_(std::move(events)) {
+Membership::Membership(StateStore& store, std::string name, core::Seconds lease, Events events,
+                       ClockFunction clock)
+    : store_(store),
+      name_(std::move(name)),
+      lease_time_(lease),
+      events_(std::move(events)),
+      clock_(std::move(clock)) {
     std::random_device device;
     incarnation_ = (static_cast<std::uint64_t>(device()) << 16) ^ device();
 }
@@ -43,7 +48,7 @@
 
 bool Membership::lease_valid() const {
     const std::lock_guard lock(mutex_);
-    return lease_.has_value() && Clock::now() < valid_until_;
+    return lease_.has_value() && clock_() < valid_until_;
 }
 
 Membership::Clock::time_point Membership::lease_end() const {
@@ -89,7 +94,7 @@
         const std::lock_guard lock(mutex_);
         lease_.reset();
         // Given up before its time, another may act at once.
-        valid_until_ = std::min(valid_until_, Clock::now());
+        valid_until_ = std::min(valid_until_, clock_());
         was_acting = standing_.acting;
         standing_.acting = false;
         if (was_acting) standing_.steward.clear();
@@ -101,7 +106,7 @@
 }
 
 void Membership::renew() {
-    const auto sent = Clock::now();
+    const auto sent = clock_();
     std::optional<std::uint64_t> lease;
     std::optional<std::uint64_t> held;
     {
@@ -210,12 +215,12 @@
 
 bool Membership::giving_way() const {
     const std::lock_guard lock(mutex_);
-    return Clock::now() < giving_way_until_;
+    return clock_() < giving_way_until_;
 }
 
 void Membership::let_others_go_first() {
     const std::lock_guard lock(mutex_);
-    giving_way_until_ = Clock::now() + duration_cast<milliseconds>(lease_time_) + others_first;
+    giving_way_until_ = clock_() + duration_cast<milliseconds>(lease_time_) + others_first;
 }
 
 void Membership::take_over(const std::optional<StewardKey>& former,
@@ -236,7 +241,7 @@
         const auto ended = store_.revoke(self.lease);
         const bool certain = ended == Outcome::ok || ended == Outcome::absent;
         const std::lock_guard lock(mutex_);
-        if (!certain) next_renewal_ = Clock::now() + duration_cast<milliseconds>(lease_time_);
+        if (!certain) next_renewal_ = clock_() + duration_cast<milliseconds>(lease_time_);
         return;
     }
     if (txn.outcome != Outcome::ok) return;
@@ -249,7 +254,7 @@
         steward_seen_ = txn.revision;
         // Guard: the life before may have ended before it ended the lease of its own former life.
         const auto doubt = view && view->returns > 0
-                               ? Clock::now() + duration_cast<milliseconds>(lease_time_)
+                               ? clock_() + duration_cast<milliseconds>(lease_time_)
                                : Clock::time_point{};
         finals_from_ = former ? Clock::time_point::max() : doubt;
         progress_ = false;
@@ -269,7 +274,7 @@
     if (ended != Outcome::ok && ended != Outcome::absent) return;
     former_lease_.reset();
     const std::lock_guard lock(mutex_);
-    finals_from_ = Clock::now() + duration_cast<milliseconds>(lease_time_);
+    finals_from_ = clock_() + duration_cast<milliseconds>(lease_time_);
 }
 
 // So that the next life's return is not counted with those that got nowhere.
@@ -308,15 +313,15 @@
 void Membership::run() {
     std::mt19937 random(static_cast<unsigned>(incarnation_));
     std::uniform_int_distribution<int> jitter(0, 100);
-    auto next_look = Clock::now();
+    auto next_look = clock_();
     for (;;) {
-        const bool look_too = Clock::now() >= next_look;
-        if (look_too) next_look = Clock::now() + look_every;
+        const bool look_too = clock_() >= next_look;
+        if (look_too) next_look = clock_() + look_every;
         round(look_too);
         std::unique_lock lock(mutex_);
         wake_.wait_for(lock, check_every + milliseconds(jitter(random) - 50),
                        [&] { return look_now_; });
-        if (std::exchange(look_now_, false)) next_look = Clock::now();
+        if (std::exchange(look_now_, false)) next_look = clock_();
     }
 }
 
--- a/src/app/membership.hpp
+++ b/src/app/membership.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 
+#include "app/clock.hpp"
 #include "app/role.hpp"
 #include "app/state_store.hpp"
 #include "app/succession.hpp"
@@ -24,7 +25,8 @@
         std::function<void()> deposed;
     };
 
-    Membership(StateStore& store, std::string name, core::Seconds lease, Events events);
+    Membership(StateStore& store, std::string name, core::Seconds lease, Events events,
+               ClockFunction clock = steady_clock());
     // Each runs until the process ends: one keeps the lease and looks who acts, the other waits
     // for news of the steward so that the first looks at once.
     void run();
@@ -67,6 +69,7 @@
     const std::string name_;
     const core::Seconds lease_time_;
     const Events events_;
+    const ClockFunction clock_;
     mutable std::mutex mutex_;
     Standing standing_;
     std::optional<std::uint64_t> lease_;
--- a/src/app/peers.cpp
+++ b/src/app/peers.cpp
@@ -51,6 +51,16 @@
     resting_until_[name] = clock_() + rest_after_failure;
 }
 
+std::optional<Reply> hand_to_leader(wire::peer::Op op, const std::string& id,
+                                    const std::string& body, Role& role, Peers& peers) {
+    const auto standing = role.standing();
+    if (!peers.knows(standing.steward)) return std::nullopt;
+    const auto answer = peers.call_unless_resting(standing.steward, {op, standing.epoch, id, body});
+    if (!answer) return std::nullopt;
+    if (answer->epoch > standing.epoch) role.suspect(answer->epoch);
+    return Reply{answer->status, answer->retry_after, answer->body};
+}
+
 std::vector<std::string> peer_names(const Settings& settings) {
     std::vector<std::string> out;
     for (const auto& sibling : settings.siblings) out.push_back(sibling.name);
--- a/src/app/peers.hpp
+++ b/src/app/peers.hpp
@@ -12,6 +12,8 @@
 #include <vector>
 
 #include "app/clock.hpp"
+#include "app/reply.hpp"
+#include "app/role.hpp"
 #include "app/settings.hpp"
 #include "wire/peer.hpp"
 
@@ -52,6 +54,10 @@
     std::map<std::string, core::TimePoint> resting_until_;
 };
 
+// A user's or worker's request handed on to the leader, if it is known and answers.
+std::optional<Reply> hand_to_leader(wire::peer::Op op, const std::string& id,
+                                    const std::string& body, Role& role, Peers& peers);
+
 // The names of the peers in the settings, in order.
 std::vector<std::string> peer_names(const Settings& settings);
 // Calls over sockets, to the addresses in the settings.
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -56,18 +56,14 @@
       acceptor_(store_, settings_.state_limits),
       cloud_(office_, settings_, [this] { return membership_.lease_valid(); }),
       courier_(office_),
-      visits_(settings_.workers.report),
+      reports_(settings_.workers, office_, membership_, peers_, replication_),
       poll_reads_(std::max(settings_.state_limits.requests_per_s * share_for_polls /
                                static_cast<double>(settings_.siblings.size() + 1),
                            1.0),
-                  polls_in_hand),
-      reach_(settings_.workers.report) {}
+                  polls_in_hand) {}
 
 void Service::take_over(std::uint64_t epoch, std::uint64_t steward_stamp) {
-    {
-        const std::lock_guard lock(reach_mutex_);
-        reach_.begin(Clock::now());
-    }
+    reports_.took_over();
     replication_.took_over();
     // Loading runs beside the renewal of the lease, which this thread must not hold up.
     std::thread([this, epoch, steward_stamp, log = TakeoverLog(Clock::now())]() mutable {
@@ -182,17 +178,6 @@
     return office_.recorded.wait_for(lock, record_limit, ready);
 }
 
-std::optional<Reply> Service::hand_on(wire::peer::Op op, const std::string& id,
-                                      const std::string& body) {
-    const auto standing = membership_.standing();
-    if (!peers_.knows(standing.steward)) return std::nullopt;
-    const auto answer =
-        peers_.call_unless_resting(standing.steward, {op, standing.epoch, id, body});
-    if (!answer) return std::nullopt;
-    if (answer->epoch > standing.epoch) membership_.suspect(answer->epoch);
-    return Reply{answer->status, answer->retry_after, answer->body};
-}
-
 std::optional<Reply> Service::from_final(const std::string& id, bool with_counts) {
     const auto final = finals_.get(id);
     if (!final) return std::nullopt;
@@ -303,7 +288,8 @@
     if (auto reply = from_final(id, true)) return *reply;
     if (!membership_.standing().acting) {
         if (from == From::sibling) return busy("another controller acts");
-        if (auto reply = hand_on(wire::peer::Op::status, id, {}); reply && reply->status != 503) {
+        if (auto reply = hand_to_leader(wire::peer::Op::status, id, {}, membership_, peers_);
+            reply && reply->status != 503) {
             // Final for good: the next to ask here needs nobody else.
             if (const auto final = wire::final_in_status(reply->body)) finals_.put(id, *final);
             return *reply;
@@ -329,7 +315,8 @@
     if (auto reply = from_final(id, false)) return *reply;
     if (!membership_.standing().acting) {
         if (from == From::sibling) return busy("another controller acts");
-        if (auto reply = hand_on(wire::peer::Op::cancel, id, {})) return *reply;
+        if (auto reply = hand_to_leader(wire::peer::Op::cancel, id, {}, membership_, peers_))
+            return *reply;
         return busy("no controller acts");
     }
     if (!membership_.lease_valid()) return busy("the state service does not answer", 2);
@@ -364,84 +351,6 @@
     return busy("the cancellation could not be recorded in time");
 }
 
-Reply Service::report(const std::string& body, From from) {
-    const auto report = wire::parse_report(body);
-    if (!report) return {400, 0, wire::error_body("malformed report")};
-    const auto standing = membership_.standing();
-    if (!standing.acting) {
-        if (from == From::sibling) return busy("another controller acts");
-        return report_elsewhere(*report, body, standing);
-    }
-    // Guard: a worker that knows a newer token would drop the answer and stay with this node
-    // until its lease is gone.
-    if (report->token > standing.epoch) {
-        membership_.suspect(report->token);
-        return busy("another controller acts");
-    }
-    {
-        const std::lock_guard lock(reach_mutex_);
-        reach_.heard(report->machine, from == From::sibling, Clock::now());
-    }
-    const std::lock_guard lock(office_.mutex);
-    if (!replication_.may_renew()) return busy("another controller may act");
-    // While records are loaded the lease of the worker lives on, and its token rises. Guard against
-    // ran_cancelled: not through an outage that keeps the records from being loaded.
-    if (!office_.controller) {
-        if (!membership_.lease_valid()) return busy("taking over");
-        return {200, 0, wire::orders_body(standing.epoch, {})};
-    }
-    const auto before = office_.controller->counts();
-    const auto answer = office_.controller->report(*report, Clock::now());
-    if (!answer.entitled) return busy("another controller acts");
-    const auto& after = office_.controller->counts();
-    if (after.lost != before.lost || after.errors != before.errors)
-        spdlog::debug("{}: lost {}, errors {}", report->machine, after.lost - before.lost,
-                      after.errors - before.errors);
-    for (const auto& order : answer.orders)
-        spdlog::debug("{}: {} {}/{} try {}", report->machine,
-                      order.verb == core::Order::Verb::start  ? "start"
-                      : order.verb == core::Order::Verb::stop ? "stop"
-                                                              : "forget",
-                      order.job, order.index, order.attempt);
-    office_.want_write();
-    const bool changed = std::any_of(report->tasks.begin(), report->tasks.end(), [](const auto& t) {
-        return t.state == core::TaskState::exited;
-    });
-    if (changed) office_.want_place();
-    return {200, 0, wire::orders_body(answer.token, answer.orders)};
-}
-
-Reply Service::report_elsewhere(const core::Report& report, const std::string& body,
-                                const Standing& standing) {
-    if (report.token > standing.epoch) membership_.suspect(report.token);
-    if (standing.steward.empty() || report.token > standing.epoch)
-        return {503, 0, wire::error_body("no view")};
-    const bool knows_steward = report.token == standing.epoch;
-    bool there = false;
-    {
-        const std::lock_guard lock(visits_mutex_);
-        there = visits_.send_there(report.machine, knows_steward, Clock::now());
-    }
-    if (there) return {421, 0, wire::redirect_body(standing.steward)};
-    // The worker cannot reach the acting controller: its report is handed on.
-    if (auto reply = hand_on(wire::peer::Op::report, report.machine, body);
-        reply && reply->status == 200)
-        return *reply;
-    return renew_unheard(report, standing.epoch);
-}
-
-// The token is still the last one known, so the worker may go on; whoever acts next confirms it.
-// Guard against ran_cancelled: with nobody who acts such answers kept tasks alive, for as long as
-// an outage lasted, whose users had been told that they are cancelled.
-Reply Service::renew_unheard(const core::Report& report, std::uint64_t epoch) {
-    const auto stops = replication_.renew_unheard(report);
-    if (!stops) return busy("nobody is known to act");
-    for (const auto& order : *stops)
-        spdlog::info("{}: stop {}/{}, cancelled, with nobody at hand who acts", report.machine,
-                     order.job, order.index);
-    return {200, 0, wire::orders_body(epoch, *stops)};
-}
-
 Reply Service::tell_word(const std::string& sibling) {
     if (!membership_.standing().acting) return replication_.word_of_follower();
     const std::lock_guard lock(office_.mutex);
@@ -460,7 +369,7 @@
             reply = cancel(request.id, From::sibling);
             break;
         case wire::peer::Op::report:
-            reply = report(request.body, From::sibling);
+            reply = reports_.report(request.body, From::sibling);
             break;
         case wire::peer::Op::view:
             if (request.epoch >= membership_.standing().epoch) steward_spoke_ = Clock::now();
@@ -497,11 +406,7 @@
 }
 
 void Service::give_way_if_unreached() {
-    {
-        const std::lock_guard lock(reach_mutex_);
-        if (!reach_.lost(Clock::now())) return;
-        reach_.begin(Clock::now());
-    }
+    if (!reports_.unreached()) return;
     spdlog::info("workers reach siblings only; another controller may act");
     membership_.give_way();
 }
@@ -589,7 +494,7 @@
               });
     http.Post(wire::path::report,
               [&](const httplib::Request& request, httplib::Response& response) {
-                  send(report(request.body, From::outside), response);
+                  send(reports_.report(request.body, From::outside), response);
               });
     http.set_error_handler([](const httplib::Request& request, httplib::Response& response) {
         if (!response.body.empty()) return;
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -17,9 +17,9 @@
 #include "app/peers.hpp"
 #include "app/recorder.hpp"
 #include "app/reply.hpp"
+#include "app/report_desk.hpp"
 #include "app/settings.hpp"
 #include "app/state_store.hpp"
-#include "app/visits.hpp"
 #include "io/http_server.hpp"
 #include "io/peer_link.hpp"
 
@@ -34,27 +34,18 @@
 
   private:
     using Clock = std::chrono::steady_clock;
-    enum class From : std::uint8_t { outside, sibling };
 
     // Users.
     Reply submit(const std::string& body);
     Reply accept_elsewhere(const core::JobSpec& spec);
     Reply status(const std::string& id, From from);
     Reply cancel(const std::string& id, From from);
-    std::optional<Reply> hand_on(wire::peer::Op op, const std::string& id, const std::string& body);
     std::optional<Reply> from_final(const std::string& id, bool with_counts);
     Reply from_records(const std::string& id, bool with_counts);
     Reply poll_records(const std::string& id);
     template <typename Ready>
     bool wait_recorded(std::unique_lock<std::mutex>& lock, Ready ready);
 
-    // Workers.
-    Reply report(const std::string& body, From from);
-    Reply report_elsewhere(const core::Report& report, const std::string& body,
-                           const Standing& standing);
-
-    // Without anybody who acts at hand: for a bounded time the worker may go on.
-    Reply renew_unheard(const core::Report& report, std::uint64_t epoch);
     Reply tell_word(const std::string& sibling);
 
     bool healthy() const;
@@ -75,7 +66,7 @@
 
     Settings settings_;
     OperatorSettings own_;
-    StateStore store_;
+    HttpStateStore store_;
     Office office_;
     FinalCache finals_;
     Membership membership_;
@@ -85,12 +76,9 @@
     Acceptor acceptor_;
     CloudDesk cloud_;
     Courier courier_;
-    std::mutex visits_mutex_;
-    Visits visits_;
+    ReportDesk reports_;
     std::mutex reads_mutex_;
     Allowance poll_reads_;
-    std::mutex reach_mutex_;
-    Reach reach_;
     // When the acting controller last said that it acts.
     std::atomic<Clock::time_point> steward_spoke_{Clock::time_point{}};
 };
--- a/src/app/state_store.cpp
+++ b/src/app/state_store.cpp
@@ -11,9 +11,9 @@
 
 }  // namespace
 
-StateStore::StateStore(io::Endpoint endpoint) : client_(std::move(endpoint), call_limit) {}
+HttpStateStore::HttpStateStore(io::Endpoint endpoint) : client_(std::move(endpoint), call_limit) {}
 
-Outcome StateStore::outcome_of(const std::optional<io::HttpAnswer>& answer) {
+Outcome HttpStateStore::outcome_of(const std::optional<io::HttpAnswer>& answer) {
     if (!answer) return Outcome::unknown;
     switch (answer->status) {
         case 200:
@@ -37,7 +37,7 @@
     }
 }
 
-Read StateStore::get(const std::string& key) {
+Read HttpStateStore::get(const std::string& key) {
     const auto answer = client_.get(wire::path::key(key));
     Read out{outcome_of(answer), {}};
     if (out.outcome != Outcome::ok) return out;
@@ -47,7 +47,7 @@
     return out;
 }
 
-Listing StateStore::list(const std::string& prefix) {
+Listing HttpStateStore::list(const std::string& prefix) {
     Listing out;
     std::string after;
     for (;;) {
@@ -67,8 +67,8 @@
     }
 }
 
-Listing StateStore::watch(const std::string& prefix, std::uint64_t since,
-                          std::chrono::milliseconds wait) {
+Listing HttpStateStore::watch(const std::string& prefix, std::uint64_t since,
+                              std::chrono::milliseconds wait) {
     const auto answer = client_.get(wire::path::watch(prefix, since, wait), wait);
     Listing out;
     out.outcome = outcome_of(answer);
@@ -83,8 +83,8 @@
     return out;
 }
 
-Txn StateStore::transact(const std::vector<wire::Condition>& conditions,
-                         const std::vector<wire::Operation>& operations) {
+Txn HttpStateStore::transact(const std::vector<wire::Condition>& conditions,
+                             const std::vector<wire::Operation>& operations) {
     const auto answer = client_.post(wire::path::txn, wire::txn_body(conditions, operations));
     Txn out;
     out.outcome = outcome_of(answer);
@@ -99,17 +99,17 @@
     return out;
 }
 
-std::optional<std::uint64_t> StateStore::grant(std::chrono::milliseconds life) {
+std::optional<std::uint64_t> HttpStateStore::grant(std::chrono::milliseconds life) {
     const auto answer = client_.post(wire::path::leases, wire::lease_body(life));
     if (outcome_of(answer) != Outcome::ok) return std::nullopt;
     return wire::parse_lease(answer->body);
 }
 
-Outcome StateStore::touch(std::uint64_t lease) {
+Outcome HttpStateStore::touch(std::uint64_t lease) {
     return outcome_of(client_.post(wire::path::touch(lease), wire::to_cbor(wire::Value::object())));
 }
 
-Outcome StateStore::revoke(std::uint64_t lease) {
+Outcome HttpStateStore::revoke(std::uint64_t lease) {
     return outcome_of(client_.erase(wire::path::lease(lease)));
 }
 
--- a/src/app/state_store.hpp
+++ b/src/app/state_store.hpp
@@ -1,4 +1,6 @@
 // Calls of the state service, with their outcomes told apart: executed, refused, or unknown.
+// `StateStore` is what the rest of the controller uses, `HttpStateStore` the real one; a simulation
+// has its own.
 #pragma once
 
 #include <atomic>
@@ -42,19 +44,35 @@
   public:
     using Clock = std::chrono::steady_clock;
 
-    explicit StateStore(io::Endpoint endpoint);
-    Read get(const std::string& key);
-    Listing list(const std::string& prefix);
+    virtual ~StateStore() = default;
+    virtual Read get(const std::string& key) = 0;
+    virtual Listing list(const std::string& prefix) = 0;
     // Waits for puts under a prefix after a revision.
-    Listing watch(const std::string& prefix, std::uint64_t since, std::chrono::milliseconds wait);
-    Txn transact(const std::vector<wire::Condition>& conditions,
-                 const std::vector<wire::Operation>& operations);
-    std::optional<std::uint64_t> grant(std::chrono::milliseconds life);
-    Outcome touch(std::uint64_t lease);
+    virtual Listing watch(const std::string& prefix, std::uint64_t since,
+                          std::chrono::milliseconds wait) = 0;
+    virtual Txn transact(const std::vector<wire::Condition>& conditions,
+                         const std::vector<wire::Operation>& operations) = 0;
+    virtual std::optional<std::uint64_t> grant(std::chrono::milliseconds life) = 0;
+    virtual Outcome touch(std::uint64_t lease) = 0;
     // Ends a lease at once, and what is attached to it.
-    Outcome revoke(std::uint64_t lease);
+    virtual Outcome revoke(std::uint64_t lease) = 0;
     // When the service last executed something for this controller.
-    Clock::time_point last_ok() const { return last_ok_.load(); }
+    virtual Clock::time_point last_ok() const = 0;
+};
+
+class HttpStateStore : public StateStore {
+  public:
+    explicit HttpStateStore(io::Endpoint endpoint);
+    Read get(const std::string& key) override;
+    Listing list(const std::string& prefix) override;
+    Listing watch(const std::string& prefix, std::uint64_t since,
+                  std::chrono::milliseconds wait) override;
+    Txn transact(const std::vector<wire::Condition>& conditions,
+                 const std::vector<wire::Operation>& operations) override;
+    std::optional<std::uint64_t> grant(std::chrono::milliseconds life) override;
+    Outcome touch(std::uint64_t lease) override;
+    Outcome revoke(std::uint64_t lease) override;
+    Clock::time_point last_ok() const override { return last_ok_.load(); }
 
   private:
     Outcome outcome_of(const std::optional<io::HttpAnswer>& answer);
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -36,7 +36,7 @@
 
     int port_;
     standin::StateService service_;
-    StateStore store_;
+    HttpStateStore store_;
     int deposed_ = 0;
 };
 
--- a/tests/recorder_test.cpp
+++ b/tests/recorder_test.cpp
@@ -29,7 +29,7 @@
 struct Writing {
     explicit Writing(int port) : service(port), store({"127.0.0.1", port}) {}
     standin::StateService service;
-    StateStore store;
+    HttpStateStore store;
     Office office;
     FinalCache finals{100};
     Recorder recorder{office, store, finals, limits};
