--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -16,14 +16,11 @@
 using std::chrono::seconds;
 
 constexpr const char* cbor = "application/cbor";
-constexpr milliseconds peer_limit{1500};
 constexpr milliseconds record_limit{2500};  // users give up after 5 s
 constexpr seconds health_memory{6};
 // Of the requests that the state service takes, for reading what users ask about.
 constexpr double share_for_polls = 0.85;
 constexpr seconds polls_in_hand{2};  // about a lease without anybody who acts, on a usual day
-// A sibling that did not answer is not tried again for this long.
-constexpr milliseconds sibling_rest{1000};
 // The one that acts speaks each second, the state service is asked each second.
 constexpr milliseconds own_trouble{2500};
 constexpr milliseconds least_between_cycles{250};
@@ -53,31 +50,21 @@
       membership_(store_, settings_.name, own_.lease,
                   {[this](std::uint64_t epoch, std::uint64_t stamp) { take_over(epoch, stamp); },
                    [this] { stand_down(); }}),
+      peers_(peer_names(settings_), socket_link(settings_)),
+      replication_(settings_.name, settings_.workers, membership_, peers_),
       recorder_(office_, store_, finals_, settings_.state_limits),
       acceptor_(store_, settings_.state_limits),
       cloud_(office_, settings_, [this] { return membership_.lease_valid(); }),
       courier_(office_),
-      visits_(settings_.workers.report),
+      reports_(settings_.workers, office_, membership_, peers_, replication_),
       poll_reads_(std::max(settings_.state_limits.requests_per_s * share_for_polls /
                                static_cast<double>(settings_.siblings.size() + 1),
                            1.0),
-                  polls_in_hand),
-      reach_(settings_.workers.report),
-      proof_(settings_.workers, settings_.siblings.size() + 1),
-      last_word_(settings_.workers, settings_.siblings.size() + 1) {
-    for (const auto& sibling : settings_.siblings)
-        siblings_[sibling.name] = std::make_unique<io::PeerClient>(sibling.endpoint, peer_limit);
-}
+                  polls_in_hand) {}
 
 void Service::take_over(std::uint64_t epoch, std::uint64_t steward_stamp) {
-    {
-        const std::lock_guard lock(reach_mutex_);
-        reach_.begin(Clock::now());
-    }
-    {
-        const std::lock_guard lock(renewals_mutex_);
-        proof_.begin(Clock::now());
-    }
+    reports_.took_over();
+    replication_.took_over();
     // Loading runs beside the renewal of the lease, which this thread must not hold up.
     std::thread([this, epoch, steward_stamp, log = TakeoverLog(Clock::now())]() mutable {
         std::unique_ptr<core::Controller> controller;
@@ -180,13 +167,7 @@
 
 void Service::stand_down() {
     const std::lock_guard lock(office_.mutex);
-    // Guard against ran_cancelled: the duty outlives the role. What is not proved gone is stopped
-    // by this controller's answers as a follower.
-    if (office_.controller) {
-        const auto last = word(*office_.controller);
-        const std::lock_guard renewals(renewals_mutex_);
-        last_word_.told(last, Clock::now());
-    }
+    if (office_.controller) replication_.stood_down(cancelled_jobs(*office_.controller));
     office_.controller.reset();
     office_.recorded.notify_all();
 }
@@ -197,29 +178,6 @@
     return office_.recorded.wait_for(lock, record_limit, ready);
 }
 
-std::optional<Reply> Service::hand_on(wire::peer::Op op, const std::string& id,
-                                      const std::string& body) {
-    const auto standing = membership_.standing();
-    const auto it = siblings_.find(standing.steward);
-    if (it == siblings_.end()) return std::nullopt;
-    // Guard against all threads waiting for one that stands still: each poll did, for 1.5 s, while
-    // connections piled up until no socket was left.
-    {
-        const std::lock_guard lock(failed_mutex_);
-        const auto failed = failed_until_.find(it->first);
-        if (failed != failed_until_.end() && Clock::now() < failed->second) return std::nullopt;
-    }
-    const auto answer = it->second->call({op, standing.epoch, id, body});
-    if (!answer) {
-        const std::lock_guard lock(failed_mutex_);
-        failed_until_[it->first] = Clock::now() + sibling_rest;
-        return std::nullopt;
-    }
-    last_sibling_answer_ = Clock::now();
-    if (answer->epoch > standing.epoch) membership_.suspect(answer->epoch);
-    return Reply{answer->status, answer->retry_after, answer->body};
-}
-
 std::optional<Reply> Service::from_final(const std::string& id, bool with_counts) {
     const auto final = finals_.get(id);
     if (!final) return std::nullopt;
@@ -330,7 +288,8 @@
     if (auto reply = from_final(id, true)) return *reply;
     if (!membership_.standing().acting) {
         if (from == From::sibling) return busy("another controller acts");
-        if (auto reply = hand_on(wire::peer::Op::status, id, {}); reply && reply->status != 503) {
+        if (auto reply = hand_to_leader(wire::peer::Op::status, id, {}, membership_, peers_);
+            reply && reply->status != 503) {
             // Final for good: the next to ask here needs nobody else.
             if (const auto final = wire::final_in_status(reply->body)) finals_.put(id, *final);
             return *reply;
@@ -356,7 +315,8 @@
     if (auto reply = from_final(id, false)) return *reply;
     if (!membership_.standing().acting) {
         if (from == From::sibling) return busy("another controller acts");
-        if (auto reply = hand_on(wire::peer::Op::cancel, id, {})) return *reply;
+        if (auto reply = hand_to_leader(wire::peer::Op::cancel, id, {}, membership_, peers_))
+            return *reply;
         return busy("no controller acts");
     }
     if (!membership_.lease_valid()) return busy("the state service does not answer", 2);
@@ -371,16 +331,15 @@
     }
     const auto epoch = office_.controller->epoch();
     lock.unlock();
-    if (!tell_cancelled(id, epoch)) return busy("the other controllers cannot be told");
+    if (!replication_.tell_cancelled(id, epoch))
+        return busy("the other controllers cannot be told");
     lock.lock();
     if (!office_.controller || office_.controller->epoch() != epoch) return busy("taking over");
     // Guard against ran_cancelled: a former controller that hears neither the state service nor
     // this one renewed the leases of its workers through an outage, and nobody was left to end
     // them. With enough siblings that know who acts it finds none to vouch for it.
-    if (office_.controller->in_doubt(id)) {
-        const std::lock_guard renewals(renewals_mutex_);
-        if (!proof_.known_to_enough()) return busy("the other controllers are being told who acts");
-    }
+    if (office_.controller->in_doubt(id) && !replication_.known_to_enough())
+        return busy("the other controllers are being told who acts");
     office_.controller->cancel(id, Clock::now());
     wait_recorded(lock, [&] {
         if (!office_.controller) return true;
@@ -392,170 +351,15 @@
     return busy("the cancellation could not be recorded in time");
 }
 
-Reply Service::report(const std::string& body, From from) {
-    const auto report = wire::parse_report(body);
-    if (!report) return {400, 0, wire::error_body("malformed report")};
-    const auto standing = membership_.standing();
-    if (!standing.acting) {
-        if (from == From::sibling) return busy("another controller acts");
-        return report_elsewhere(*report, body, standing);
-    }
-    // Guard: a worker that knows a newer token would drop the answer and stay with this node
-    // until its lease is gone.
-    if (report->token > standing.epoch) {
-        membership_.suspect(report->token);
-        return busy("another controller acts");
-    }
-    {
-        const std::lock_guard lock(reach_mutex_);
-        reach_.heard(report->machine, from == From::sibling, Clock::now());
-    }
-    const std::lock_guard lock(office_.mutex);
-    if (!may_renew()) return busy("another controller may act");
-    // Guard against ran_cancelled: before the records are loaded this controller knows no more than
-    // a follower, and renews no more than one. Each of several leaders that follow each other
-    // quickly used to give every machine another lease, and none of them a stop.
-    if (!office_.controller) {
-        if (!membership_.lease_valid()) return busy("taking over");
-        return renew_unheard(*report, standing.epoch);
-    }
-    const auto before = office_.controller->counts();
-    const auto answer = office_.controller->report(*report, Clock::now());
-    if (!answer.entitled) return busy("another controller acts");
-    const auto& after = office_.controller->counts();
-    if (after.lost != before.lost || after.errors != before.errors)
-        spdlog::debug("{}: lost {}, errors {}", report->machine, after.lost - before.lost,
-                      after.errors - before.errors);
-    for (const auto& order : answer.orders)
-        spdlog::debug("{}: {} {}/{} try {}", report->machine,
-                      order.verb == core::Order::Verb::start  ? "start"
-                      : order.verb == core::Order::Verb::stop ? "stop"
-                                                              : "forget",
-                      order.job, order.index, order.attempt);
-    office_.want_write();
-    const bool changed = std::any_of(report->tasks.begin(), report->tasks.end(), [](const auto& t) {
-        return t.state == core::TaskState::exited;
-    });
-    if (changed) office_.want_place();
-    return {200, 0, wire::orders_body(answer.token, answer.orders)};
-}
-
-Reply Service::report_elsewhere(const core::Report& report, const std::string& body,
-                                const Standing& standing) {
-    if (report.token > standing.epoch) membership_.suspect(report.token);
-    if (standing.steward.empty() || report.token > standing.epoch)
-        return {503, 0, wire::error_body("no view")};
-    const bool knows_steward = report.token == standing.epoch;
-    bool there = false;
-    {
-        const std::lock_guard lock(visits_mutex_);
-        there = visits_.send_there(report.machine, knows_steward, Clock::now());
-    }
-    if (there) return {421, 0, wire::redirect_body(standing.steward)};
-    // The worker cannot reach the acting controller: its report is handed on.
-    if (auto reply = hand_on(wire::peer::Op::report, report.machine, body);
-        reply && reply->status == 200)
-        return *reply;
-    return renew_unheard(report, standing.epoch);
-}
-
-// The token is still the last one known, so the worker may go on; whoever acts next confirms it.
-// Guard against ran_cancelled: with nobody who acts such answers kept tasks alive, for as long as
-// an outage lasted, whose users had been told that they are cancelled.
-Reply Service::renew_unheard(const core::Report& report, std::uint64_t epoch) {
-    const auto now = Clock::now();
-    const std::lock_guard lock(renewals_mutex_);
-    if (!last_word_.may_renew(now)) return busy("nobody is known to act");
-    const auto stops = last_word_.stops(report, now);
-    for (const auto& order : stops)
-        spdlog::info("{}: stop {}/{}, cancelled, with nobody at hand who acts", report.machine,
-                     order.job, order.index);
-    return {200, 0, wire::orders_body(epoch, stops)};
-}
-
-bool Service::may_renew() {
-    const auto lease_end = membership_.lease_end();
-    const std::lock_guard lock(renewals_mutex_);
-    return proof_.may_renew(lease_end, Clock::now());
-}
-
-wire::peer::Word Service::word(const core::Controller& controller) {
-    const auto lease_end = membership_.lease_end();
-    const auto now = Clock::now();
-    wire::peer::Word out;
-    {
-        const std::lock_guard lock(renewals_mutex_);
-        out.age = std::chrono::ceil<milliseconds>(now - proof_.sole_until(lease_end, now));
-    }
-    // A machine that has not shown this epoch's token may hold what a former controller cancelled.
-    out.complete = controller.unconfirmed() == 0;
-    auto cancelled = controller.jobs_to_end();
-    const std::lock_guard lock(renewals_mutex_);
-    const auto memory = last_word_.word(now);
-    out.memory = memory.memory;
-    cancelled.insert(memory.cancelled.begin(), memory.cancelled.end());
-    out.cancelled.assign(cancelled.begin(), cancelled.end());
-    return out;
-}
-
 Reply Service::tell_word(const std::string& sibling) {
-    if (!membership_.standing().acting) {
-        if (!membership_.knows_view()) return {503, 0, {}};
-        const std::lock_guard lock(renewals_mutex_);
-        return {421, 0, wire::peer::pack(last_word_.word(Clock::now()))};
-    }
+    if (!membership_.standing().acting) return replication_.word_of_follower();
     const std::lock_guard lock(office_.mutex);
     if (!office_.controller) return {503, 0, {}};
-    const auto told = word(*office_.controller);
-    const std::lock_guard renewals(renewals_mutex_);
-    proof_.gave_word(sibling, Clock::now());
-    return {200, 0, wire::peer::pack(told)};
-}
-
-// Guard against ran_cancelled: with the one that confirmed lost in an outage, nobody knew what to
-// stop. Siblings know before the user does, enough of them for any majority to have one that knows.
-bool Service::tell_cancelled(const std::string& id, std::uint64_t epoch) {
-    {
-        const std::lock_guard lock(renewals_mutex_);
-        last_word_.cancelled(id, Clock::now());
-    }
-    std::set<std::string> told;
-    std::set<std::string> all;
-    for (const auto& [name, sibling] : siblings_) all.insert(name);
-    const auto enough = [&] {
-        const std::lock_guard lock(renewals_mutex_);
-        return proof_.may_confirm(told, all, Clock::now());
-    };
-    for (auto& [name, sibling] : siblings_) {
-        if (enough()) return true;
-        {
-            const std::lock_guard lock(failed_mutex_);
-            const auto failed = failed_until_.find(name);
-            if (failed != failed_until_.end() && Clock::now() < failed->second) continue;
-        }
-        const auto answer = sibling->call({wire::peer::Op::cancelled, epoch, id, {}});
-        if (!answer) {
-            const std::lock_guard lock(failed_mutex_);
-            failed_until_[name] = Clock::now() + sibling_rest;
-            continue;
-        }
-        if (answer->epoch > epoch) membership_.suspect(answer->epoch);
-        if (answer->status == 200) told.insert(name);
-    }
-    return enough();
-}
-
-Reply Service::hear_cancelled(const std::string& id, std::uint64_t epoch) {
-    // What nobody has read the view for, or who knows better, keeps no promise.
-    if (!membership_.knows_view()) return {503, 0, {}};
-    if (epoch < membership_.standing().epoch) return {421, 0, {}};
-    const std::lock_guard lock(renewals_mutex_);
-    last_word_.cancelled(id, Clock::now());
-    return {200, 0, {}};
+    return replication_.word_of_leader(sibling, cancelled_jobs(*office_.controller));
 }
 
 wire::peer::Answer Service::answer_sibling(const wire::peer::Request& request) {
-    last_sibling_answer_ = Clock::now();
+    peers_.was_called();
     Reply reply;
     switch (request.op) {
         case wire::peer::Op::status:
@@ -565,7 +369,7 @@
             reply = cancel(request.id, From::sibling);
             break;
         case wire::peer::Op::report:
-            reply = report(request.body, From::sibling);
+            reply = reports_.report(request.body, From::sibling);
             break;
         case wire::peer::Op::view:
             if (request.epoch >= membership_.standing().epoch) steward_spoke_ = Clock::now();
@@ -576,7 +380,7 @@
             reply = tell_word(request.id);
             break;
         case wire::peer::Op::cancelled:
-            reply = hear_cancelled(request.id, request.epoch);
+            reply = replication_.hear_cancelled(request.id, request.epoch);
             break;
     }
     return {static_cast<std::uint16_t>(reply.status), static_cast<std::uint16_t>(reply.retry_after),
@@ -590,114 +394,19 @@
     // state service and says so, this one has it not. In an outage for all nobody says so.
     if (now - store_.last_ok() > own_trouble && now - steward_spoke_.load() < own_trouble)
         return false;
-    return now - store_.last_ok() < health_memory ||
-           now - last_sibling_answer_.load() < health_memory;
+    return now - store_.last_ok() < health_memory || now - peers_.last_contact() < health_memory;
 }
 
 void Service::announce() {
     for (;;) {
-        if (membership_.knows_view()) {
-            const std::lock_guard lock(renewals_mutex_);
-            last_word_.begin(Clock::now());
-        }
-        const auto standing = membership_.standing();
-        if (!standing.acting)
-            ask_for_word(standing);
-        else if (membership_.lease_valid())
-            tell_siblings(standing);
-        else
-            ask_for_vouchers(standing);
-        if (standing.acting) give_way_if_unreached();
+        replication_.round();
+        if (membership_.standing().acting) give_way_if_unreached();
         std::this_thread::sleep_for(announce_every);
     }
 }
 
-// Tells siblings who acts, so that a former controller that the state service refuses, or that is
-// slow to notice, steps back before workers lose time with it. Said only with a valid lease: it is
-// also the word that the state service answers.
-void Service::tell_siblings(const Standing& standing) {
-    for (auto& [name, sibling] : siblings_) {
-        const auto answer =
-            sibling->call({wire::peer::Op::view, standing.epoch, settings_.name, {}});
-        if (!answer) continue;
-        last_sibling_answer_ = Clock::now();
-        if (answer->epoch > standing.epoch) membership_.suspect(answer->epoch);
-        const std::lock_guard lock(renewals_mutex_);
-        if (answer->epoch == standing.epoch && membership_.standing().epoch == standing.epoch)
-            proof_.acknowledged(name);
-    }
-}
-
-// In an outage of the state service nobody else can have taken the role; where it refuses this
-// controller alone, somebody can, and siblings know.
-void Service::ask_for_vouchers(const Standing& standing) {
-    for (auto& [name, sibling] : siblings_) {
-        const auto asked = Clock::now();
-        const auto answer =
-            sibling->call({wire::peer::Op::word, standing.epoch, settings_.name, {}});
-        if (!answer) continue;
-        last_sibling_answer_ = Clock::now();
-        if (answer->epoch > standing.epoch) {
-            membership_.heard(answer->epoch, {});
-            return;
-        }
-        // One that has not read the view since it began may have forgotten a later epoch.
-        if (answer->epoch != standing.epoch || answer->status == 503) continue;
-        const std::lock_guard lock(renewals_mutex_);
-        proof_.vouched(name, asked);
-    }
-}
-
-// The word of the one that acts, or else those of the others: with that one lost in an outage, what
-// runs goes on by what they remember together.
-void Service::ask_for_word(const Standing& standing) {
-    if (standing.epoch == 0) return;
-    if (!ask_who_acts(standing)) ask_the_others(standing);
-}
-
-bool Service::ask_who_acts(const Standing& standing) {
-    const auto it = siblings_.find(standing.steward);
-    if (it == siblings_.end()) return false;
-    const auto asked = Clock::now();
-    const auto answer =
-        it->second->call({wire::peer::Op::word, standing.epoch, settings_.name, {}});
-    if (!answer) return false;
-    last_sibling_answer_ = Clock::now();
-    if (answer->epoch > standing.epoch) membership_.suspect(answer->epoch);
-    if (answer->status != 200 || answer->epoch != standing.epoch) return false;
-    const auto word = wire::peer::parse_word(answer->body);
-    if (!word) return false;
-    const std::lock_guard lock(renewals_mutex_);
-    last_word_.told(*word, asked);
-    return true;
-}
-
-void Service::ask_the_others(const Standing& standing) {
-    for (auto& [name, sibling] : siblings_) {
-        if (name == standing.steward) continue;
-        const auto asked = Clock::now();
-        const auto answer =
-            sibling->call({wire::peer::Op::word, standing.epoch, settings_.name, {}});
-        if (!answer) continue;
-        last_sibling_answer_ = Clock::now();
-        if (answer->epoch > standing.epoch) {
-            membership_.heard(answer->epoch, {});
-            return;
-        }
-        if (answer->epoch != standing.epoch || answer->status == 503) continue;
-        const auto word = wire::peer::parse_word(answer->body);
-        if (!word) continue;
-        const std::lock_guard lock(renewals_mutex_);
-        last_word_.answered(name, *word, asked);
-    }
-}
-
 void Service::give_way_if_unreached() {
-    {
-        const std::lock_guard lock(reach_mutex_);
-        if (!reach_.lost(Clock::now())) return;
-        reach_.begin(Clock::now());
-    }
+    if (!reports_.unreached()) return;
     spdlog::info("workers reach siblings only; another controller may act");
     membership_.give_way();
 }
@@ -730,7 +439,7 @@
             office_.controller->cycle(Clock::now());
             // Guard against ran_cancelled: a former controller went on starting by direct call, in
             // the session that followed the lease it no longer renewed, what another had cancelled.
-            calls = office_.controller->direct_calls(Clock::now(), may_renew());
+            calls = office_.controller->direct_calls(Clock::now(), replication_.may_renew());
             tell_starts(*office_.controller);
             if (office_.takeover_log) office_.takeover_log->look(*office_.controller, Clock::now());
             if (office_.takeover_log && office_.takeover_log->progressed(Clock::now()))
@@ -785,7 +494,7 @@
               });
     http.Post(wire::path::report,
               [&](const httplib::Request& request, httplib::Response& response) {
-                  send(report(request.body, From::outside), response);
+                  send(reports_.report(request.body, From::outside), response);
               });
     http.set_error_handler([](const httplib::Request& request, httplib::Response& response) {
         if (!response.body.empty()) return;
