The wire's codecs are split by counterpart

Change: users, workers, cloud, state_service (its calls) and records (what is kept there) are modules of their own; job_spec is the form that a submission and a job's record share; cbor holds the encoding, fields the typed reading of a map's fields, used by the codecs only. Whole names inside; the functions that others call keep theirs. Each file includes what it uses.

--- a/src/app/acceptor.cpp
+++ b/src/app/acceptor.cpp
@@ -5,6 +5,7 @@
 #include <thread>
 
 #include "app/recorder.hpp"
+#include "wire/records.hpp"
 
 namespace bendspindle::app {
 
--- a/src/app/client.cpp
+++ b/src/app/client.cpp
@@ -6,7 +6,8 @@
 
 #include "app/settings.hpp"
 #include "io/http_client.hpp"
-#include "wire/codec.hpp"
+#include "wire/cbor.hpp"
+#include "wire/users.hpp"
 
 namespace bendspindle::app {
 
--- a/src/app/cloud_desk.cpp
+++ b/src/app/cloud_desk.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <thread>
 
+#include "wire/cloud.hpp"
+
 namespace bendspindle::app {
 
 namespace {
--- a/src/app/cloud_desk.hpp
+++ b/src/app/cloud_desk.hpp
@@ -10,7 +10,6 @@
 #include "app/office.hpp"
 #include "app/settings.hpp"
 #include "io/http_client.hpp"
-#include "wire/codec.hpp"
 
 namespace bendspindle::app {
 
--- a/src/app/courier.cpp
+++ b/src/app/courier.cpp
@@ -4,7 +4,7 @@
 #include <thread>
 
 #include "io/http_client.hpp"
-#include "wire/codec.hpp"
+#include "wire/workers.hpp"
 
 namespace bendspindle::app {
 
--- a/src/app/recorder.cpp
+++ b/src/app/recorder.cpp
@@ -6,6 +6,8 @@
 #include <random>
 #include <thread>
 
+#include "wire/records.hpp"
+
 namespace bendspindle::app {
 
 namespace {
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -7,6 +7,9 @@
 #include <thread>
 
 #include "app/stop_signal.hpp"
+#include "wire/records.hpp"
+#include "wire/users.hpp"
+#include "wire/workers.hpp"
 
 namespace bendspindle::app {
 
--- a/src/app/state_store.hpp
+++ b/src/app/state_store.hpp
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "io/http_client.hpp"
-#include "wire/codec.hpp"
+#include "wire/state_service.hpp"
 
 namespace bendspindle::app {
 
--- a/src/app/succession.hpp
+++ b/src/app/succession.hpp
@@ -11,7 +11,7 @@
 #include <optional>
 #include <string>
 
-#include "wire/codec.hpp"
+#include "wire/records.hpp"
 
 namespace bendspindle::app {
 
--- /dev/null
+++ b/src/wire/cloud.cpp
@@ -0,0 +1,91 @@
+#include "wire/cloud.hpp"
+
+#include "wire/fields.hpp"
+
+namespace bendspindle::wire {
+
+namespace {
+
+constexpr NameTable<core::MachineStage, 3> stage_names{{{"starting", core::MachineStage::booting},
+                                                        {"running", core::MachineStage::running},
+                                                        {"failed", core::MachineStage::failed}}};
+
+core::MachineType read_type(const Fields& fields) {
+    core::MachineType type;
+    type.name = fields.text("sku");
+    type.size = {fields.amount("cores"), fields.has("cards") ? fields.amount("cards") : 0,
+                 fields.amount("ram_gb")};
+    type.cache_gb = fields.amount("cache_gb");
+    type.fetch_gb_per_s = fields.amount("fetch_gb_per_s");
+    type.price = fields.amount("rate");
+    type.spot_price = fields.has("spot_price") ? fields.amount("spot_price") : type.price;
+    type.boot = fields.seconds("startup_s");
+    type.zones = fields.texts("halls");
+    return type;
+}
+
+core::ListedMachine read_machine(const Fields& fields) {
+    core::ListedMachine machine;
+    machine.name = fields.text("uid");
+    if (fields.has("addr")) machine.address = fields.text("addr");
+    machine.type = fields.text("build");
+    machine.zone = fields.text("hall");
+    machine.spot = fields.flag("loaners");
+    machine.stage = fields.named(stage_names, "stage");
+    if (fields.has("age_s")) machine.age = fields.seconds("age_s");
+    return machine;
+}
+
+}  // namespace
+
+namespace path {
+
+std::string list(const std::string& after, unsigned limit) {
+    auto out = std::string("/machines?page=") + std::to_string(limit);
+    if (!after.empty()) out += "&since=" + after;
+    return out;
+}
+
+}  // namespace path
+
+std::optional<std::vector<core::MachineType>> parse_catalog(std::string_view body) {
+    return if_well_formed([&] {
+        const auto map = parse_map(body);
+        std::vector<core::MachineType> types;
+        for (const auto& type : Fields(map).maps("builds")) types.push_back(read_type(type));
+        return types;
+    });
+}
+
+std::string rent_body(const core::RentRequest& request) {
+    return to_cbor(Value{{"hire", request.request},
+                         {"build", request.type},
+                         {"hall", request.zone},
+                         {"loaners", request.spot},
+                         {"number", request.count}});
+}
+
+std::optional<std::vector<std::string>> parse_rented(std::string_view body) {
+    return if_well_formed([&] {
+        const auto map = parse_map(body);
+        return Fields(map).texts("spindles");
+    });
+}
+
+std::string release_body(const std::vector<std::string>& names) {
+    return to_cbor(Value{{"spindles", names}});
+}
+
+std::optional<MachineList> parse_list(std::string_view body) {
+    return if_well_formed([&] {
+        const auto map = parse_map(body);
+        const Fields fields(map);
+        MachineList list;
+        for (const auto& machine : fields.maps("spindles"))
+            list.machines.push_back(read_machine(machine));
+        list.more = fields.has("truncated") && fields.flag("truncated");
+        return list;
+    });
+}
+
+}  // namespace bendspindle::wire
--- /dev/null
+++ b/src/wire/fields.hpp
@@ -0,0 +1,82 @@
+// Typed reading of a message's fields, shared by the codecs and used by nothing else. Each reader
+// checks that the field is there, has its type and is within bounds, and throws `Malformed` with
+// the field's name otherwise; no exception leaves the codecs.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "core/types.hpp"
+#include "wire/cbor.hpp"
+
+namespace bendspindle::wire {
+
+struct Malformed {
+    std::string what;
+};
+
+// The words that stand for the values of an enumeration.
+template <typename Enum, std::size_t size>
+using NameTable = std::array<std::pair<const char*, Enum>, size>;
+
+// The fields of one map, which must outlive the reader.
+class Fields {
+  public:
+    explicit Fields(const Value& map);
+    explicit Fields(Value&& map) = delete;
+
+    bool contains(const char* name) const { return map_->contains(name); }
+    // Whether the field is there and not null.
+    bool has(const char* name) const;
+    const Value& value(const char* name) const;
+    std::string text(const char* name) const;
+    // A finite number that is not negative.
+    double amount(const char* name) const;
+    core::Seconds seconds(const char* name) const { return core::Seconds(amount(name)); }
+    std::uint64_t count(const char* name) const;
+    bool flag(const char* name) const;
+    const Value& list(const char* name) const;
+    // A list that holds nothing but maps.
+    std::vector<Fields> maps(const char* name) const;
+    // A list's texts; what is not text in it is passed over.
+    std::vector<std::string> texts(const char* name) const;
+
+    template <typename Enum, std::size_t size>
+    Enum named(const NameTable<Enum, size>& names, const char* field) const {
+        const auto word = text(field);
+        for (const auto& [name, value] : names)
+            if (word == name) return value;
+        throw Malformed{std::string(field) + " has an unknown value"};
+    }
+
+  private:
+    const Value* map_;
+};
+
+template <typename Enum, std::size_t size>
+const char* name_of(const NameTable<Enum, size>& names, Enum value) {
+    for (const auto& [name, named] : names)
+        if (named == value) return name;
+    return names[0].first;
+}
+
+// The body's map; throws if it is anything else.
+Value parse_map(std::string_view body);
+
+// What `read` returns, or nullopt if it meets a malformed field.
+template <typename Read>
+auto if_well_formed(Read&& read) -> std::optional<decltype(read())> {
+    try {
+        return read();
+    } catch (const Malformed&) {
+        return std::nullopt;
+    }
+}
+
+}  // namespace bendspindle::wire
--- /dev/null
+++ b/src/wire/job_spec.cpp
@@ -0,0 +1,101 @@
+#include "wire/job_spec.hpp"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "wire/fields.hpp"
+
+namespace bendspindle::wire {
+
+namespace {
+
+constexpr std::uint32_t most_tasks = 100'000;
+constexpr std::size_t most_types_text = 4096;
+
+constexpr NameTable<core::Kind, 3> kind_names{{{"batch", core::Kind::array},
+                                               {"ensemble", core::Kind::gang},
+                                               {"daemon", core::Kind::service}}};
+constexpr NameTable<core::Priority, 4> priority_names{{{"critical", core::Priority::production},
+                                                       {"urgent", core::Priority::high},
+                                                       {"standard", core::Priority::normal},
+                                                       {"low", core::Priority::low}}};
+
+std::vector<std::string> read_types(const Fields& fields) {
+    std::vector<std::string> types;
+    std::size_t length = 0;
+    for (const auto& type : fields.list("builds")) {
+        if (!type.is_string()) throw Malformed{"builds holds what is not text"};
+        types.push_back(type.get<std::string>());
+        length += types.back().size() + 3;
+        // Guard against a record too large for the state service: it could never be written.
+        if (length > most_types_text) throw Malformed{"builds is too long"};
+    }
+    return types;
+}
+
+}  // namespace
+
+bool valid_job_id(std::string_view id) {
+    constexpr std::string_view prefix = "job-";
+    constexpr std::size_t longest = 64;
+    if (id.size() <= prefix.size() || id.size() > longest || !id.starts_with(prefix)) return false;
+    return std::all_of(id.begin(), id.end(), [](char c) {
+        return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+               c == '-' || c == '_';
+    });
+}
+
+core::JobSpec read_job_spec(const Value& map) {
+    const Fields fields(map);
+    core::JobSpec spec;
+    spec.id = fields.text("uid");
+    if (!valid_job_id(spec.id)) throw Malformed{"uid has not the form of a job id"};
+    spec.job_class = fields.text("lane");
+    spec.team = fields.text("crew");
+    spec.kind = fields.named(kind_names, "shape");
+    spec.priority = fields.named(priority_names, "urgency");
+    const auto tasks = fields.count("pieces");
+    if (tasks < 1 || tasks > most_tasks) throw Malformed{"pieces is out of range"};
+    spec.tasks = static_cast<std::uint32_t>(tasks);
+    spec.need = {fields.amount("cores"), fields.amount("cards"), fields.amount("ram_gb")};
+    spec.image = fields.text("blueprint");
+    spec.image_gb = fields.amount("pull_gb");
+    if (fields.has("builds")) spec.types = read_types(fields);
+    if (fields.has("hall")) spec.zone = fields.text("hall");
+    spec.one_zone = fields.flag("together");
+    spec.spread = fields.flag("apart");
+    spec.spot = fields.flag("loaners");
+    spec.estimate = fields.seconds("expect_s");
+    spec.checkpoint = fields.seconds("notch_s");
+    spec.save_time = fields.seconds("stow_s");
+    if (fields.has("due_s")) spec.deadline = fields.seconds("due_s");
+    return spec;
+}
+
+Value job_spec_value(const core::JobSpec& spec) {
+    Value map{{"uid", spec.id},
+              {"lane", spec.job_class},
+              {"crew", spec.team},
+              {"shape", name_of(kind_names, spec.kind)},
+              {"urgency", name_of(priority_names, spec.priority)},
+              {"pieces", spec.tasks},
+              {"cores", spec.need.cpus},
+              {"cards", spec.need.gpus},
+              {"ram_gb", spec.need.memory_gb},
+              {"blueprint", spec.image},
+              {"pull_gb", spec.image_gb},
+              {"together", spec.one_zone},
+              {"apart", spec.spread},
+              {"loaners", spec.spot},
+              {"expect_s", spec.estimate.count()},
+              {"notch_s", spec.checkpoint.count()},
+              {"stow_s", spec.save_time.count()}};
+    if (spec.types) map["builds"] = *spec.types;
+    if (spec.zone) map["hall"] = *spec.zone;
+    if (spec.deadline) map["due_s"] = spec.deadline->count();
+    return map;
+}
+
+}  // namespace bendspindle::wire
--- /dev/null
+++ b/src/wire/records.cpp
@@ -0,0 +1,139 @@
+#include "wire/records.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <vector>
+
+#include "wire/fields.hpp"
+#include "wire/job_spec.hpp"
+
+namespace bendspindle::wire {
+
+namespace {
+
+constexpr std::size_t most_ranges = 1500;
+constexpr std::uint64_t most_returns = 1000;
+
+constexpr NameTable<core::Final, 2> final_names{
+    {{"cancelled", core::Final::cancelled}, {"done", core::Final::done}}};
+
+// One hexadecimal digit for four tasks, the first of them in its lowest bit.
+std::string bitmap_of(const std::vector<core::Range>& ranges, std::uint32_t tasks) {
+    std::vector<unsigned> nibbles((tasks + 3) / 4, 0);
+    for (const auto& [first, last] : ranges)
+        for (auto i = first; i <= last; ++i) nibbles[i / 4] |= 1U << (i % 4);
+    std::string digits(nibbles.size(), '0');
+    for (std::size_t i = 0; i < digits.size(); ++i) digits[i] = "0123456789abcdef"[nibbles[i]];
+    return digits;
+}
+
+std::vector<core::Range> ranges_of(const std::string& bitmap) {
+    std::vector<core::Range> out;
+    for (std::uint32_t n = 0; n < bitmap.size(); ++n) {
+        const unsigned nibble = bitmap[n] <= '9' ? static_cast<unsigned>(bitmap[n] - '0')
+                                                 : static_cast<unsigned>(bitmap[n] - 'a' + 10);
+        for (std::uint32_t bit = 0; bit < 4; ++bit) {
+            if (!(nibble >> bit & 1U)) continue;
+            const auto task = n * 4 + bit;
+            if (!out.empty() && out.back().second + 1 == task)
+                out.back().second = task;
+            else
+                out.push_back({task, task});
+        }
+    }
+    return out;
+}
+
+// A done-set is ranges while they are few, else a hexadecimal bitmap: 100,000 tasks done in any
+// pattern still fit the state service's values.
+Value done_set_value(const std::vector<core::Range>& ranges, std::uint32_t tasks) {
+    if (ranges.size() > most_ranges) return bitmap_of(ranges, tasks);
+    Value out = Value::array();
+    for (const auto& [first, last] : ranges) {
+        out.push_back(first);
+        out.push_back(last);
+    }
+    return out;
+}
+
+std::vector<core::Range> read_done_set(const Value& value) {
+    if (value.is_string()) return ranges_of(value.get_ref<const std::string&>());
+    std::vector<core::Range> out;
+    if (!value.is_array()) return out;
+    for (std::size_t i = 0; i + 1 < value.size(); i += 2)
+        if (value[i].is_number_unsigned() && value[i + 1].is_number_unsigned())
+            out.push_back({value[i].get<std::uint32_t>(), value[i + 1].get<std::uint32_t>()});
+    return out;
+}
+
+}  // namespace
+
+Value job_record(const core::JobRecord& record) {
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    return Value{
+        {"spec", job_spec_value(record.spec)},
+        {"home", record.home},
+        {"submitted_ms", duration_cast<milliseconds>(record.submitted.time_since_epoch()).count()},
+        {"attempt", record.last_attempt},
+        {"done", done_set_value(record.done, record.spec.tasks)}};
+}
+
+std::optional<core::JobRecord> parse_job_record(const Value& value) {
+    return if_well_formed([&] {
+        const Fields fields(value);
+        core::JobRecord record;
+        record.spec = read_job_spec(fields.value("spec"));
+        record.home = fields.text("home");
+        record.submitted = core::WallTime(std::chrono::milliseconds(fields.count("submitted_ms")));
+        record.last_attempt = fields.count("attempt");
+        record.done = read_done_set(fields.value("done"));
+        return record;
+    });
+}
+
+Value final_record(const core::JobRecord& record) {
+    return Value{{"final", name_of(final_names, record.final)}};
+}
+
+std::optional<core::Final> parse_final(const Value& value) {
+    return if_well_formed([&] { return Fields(value).named(final_names, "final"); });
+}
+
+Value machine_record(const core::ListedMachine& machine) {
+    return Value{{"addr", machine.address},
+                 {"type", machine.type},
+                 {"zone", machine.zone},
+                 {"spot", machine.spot}};
+}
+
+std::optional<core::ListedMachine> parse_machine_record(const std::string& name,
+                                                        const Value& value) {
+    return if_well_formed([&] {
+        const Fields fields(value);
+        core::ListedMachine machine;
+        machine.name = name;
+        machine.address = fields.text("addr");
+        machine.type = fields.text("type");
+        machine.zone = fields.text("zone");
+        machine.spot = fields.flag("spot");
+        machine.stage = core::MachineStage::running;
+        return machine;
+    });
+}
+
+Value view_record(const ViewRecord& view) {
+    return Value{{"epoch", view.epoch}, {"steward", view.steward}, {"returns", view.returns}};
+}
+
+std::optional<ViewRecord> parse_view(const Value& value) {
+    return if_well_formed([&] {
+        const Fields fields(value);
+        // Views of older programs do not count returns.
+        const auto returns = fields.has("returns") ? fields.count("returns") : 0;
+        return ViewRecord{fields.count("epoch"), fields.text("steward"),
+                          static_cast<std::uint32_t>(std::min(returns, most_returns))};
+    });
+}
+
+}  // namespace bendspindle::wire
--- /dev/null
+++ b/src/wire/state_service.hpp
@@ -0,0 +1,65 @@
+// Calls to the state service: reading keys, watching them, transactions and leases. What the
+// values hold is in wire/records.hpp.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "wire/cbor.hpp"
+
+namespace bendspindle::wire {
+
+namespace path {
+inline constexpr const char* txn = "/txn";
+inline constexpr const char* leases = "/leases";
+std::string key(const std::string& key);
+std::string range(const std::string& prefix, const std::string& after, unsigned limit);
+std::string watch(const std::string& prefix, std::uint64_t since, std::chrono::milliseconds wait);
+std::string lease(std::uint64_t lease);
+std::string touch(std::uint64_t lease);
+}  // namespace path
+
+// Reading.
+struct Entry {
+    std::string key;
+    Value value;
+    std::uint64_t stamp = 0;
+    std::uint64_t lease = 0;  // what the key is attached to, if it was read by itself; 0: nothing
+};
+struct Entries {
+    std::vector<Entry> entries;
+    bool more = false;
+    std::uint64_t revision = 0;
+};
+std::optional<Entry> parse_entry(std::string_view body);
+std::optional<Entries> parse_entries(std::string_view body);
+// The puts of a watch's answer; what was deleted is left out.
+std::optional<Entries> parse_events(std::string_view body);
+
+// Transactions.
+struct Condition {
+    std::string key;
+    std::uint64_t stamp = 0;
+};
+struct Operation {
+    std::string key;
+    std::optional<Value> put;  // nullopt: delete
+    std::optional<std::uint64_t> lease;
+};
+struct TxnAnswer {
+    std::uint64_t revision = 0;
+    std::vector<std::string> failed;  // keys whose conditions did not hold
+};
+std::string txn_body(const std::vector<Condition>& conditions,
+                     const std::vector<Operation>& operations);
+std::optional<TxnAnswer> parse_txn(std::string_view body);
+
+// Leases.
+std::string lease_body(std::chrono::milliseconds life);
+std::optional<std::uint64_t> parse_lease(std::string_view body);
+
+}  // namespace bendspindle::wire
--- /dev/null
+++ b/src/wire/users.hpp
@@ -0,0 +1,32 @@
+// Requests of users and their answers: submitting a job, asking for its status, cancelling it.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "core/pipelines.hpp"
+#include "core/types.hpp"
+#include "wire/job_spec.hpp"
+
+namespace bendspindle::wire {
+
+namespace path {
+inline constexpr const char* work = "/work";
+inline constexpr const char* health = "/healthz";
+}  // namespace path
+
+// The job, or the reason why the request is malformed.
+struct ParsedJob {
+    std::optional<core::JobSpec> job;
+    std::string error;
+};
+ParsedJob parse_job(std::string_view body);
+std::string job_body(const core::JobSpec& spec);
+std::string status_body(const std::string& id, const core::JobStatus& status, bool with_counts);
+// The final state that such a body tells, if it tells one.
+std::optional<core::Final> final_in_status(std::string_view body);
+// Why a request was refused: the body of every error, a worker's too.
+std::string error_body(const std::string& why);
+
+}  // namespace bendspindle::wire
--- /dev/null
+++ b/src/wire/workers.hpp
@@ -0,0 +1,29 @@
+// Reports of workers, and the orders that go to them: in answers to reports and in direct calls.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/dispatch.hpp"
+#include "core/types.hpp"
+
+namespace bendspindle::wire {
+
+namespace path {
+inline constexpr const char* report = "/checkin";
+inline constexpr const char* direct_orders = "/orders";
+inline constexpr const char* inspect = "/inspect";
+}  // namespace path
+
+std::optional<core::Report> parse_report(std::string_view body);
+std::string report_body(const core::Report& report);
+std::string orders_body(std::uint64_t token, const std::vector<core::Order>& orders);
+// Orders of a direct call; only these name the worker's session.
+std::string direct_body(const core::DirectCall& call);
+// Names the controller that takes reports; an empty name: none is known.
+std::string redirect_body(const std::string& node);
+
+}  // namespace bendspindle::wire
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -1,10 +1,13 @@
-#include "wire/codec.hpp"
-
 #include <gtest/gtest.h>
 
 #include <random>
 
+#include "wire/cloud.hpp"
 #include "wire/peer.hpp"
+#include "wire/records.hpp"
+#include "wire/state_service.hpp"
+#include "wire/users.hpp"
+#include "wire/workers.hpp"
 
 namespace bendspindle::wire {
 namespace {
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -9,6 +9,8 @@
 #include <fstream>
 
 #include "standin/services.hpp"
+#include "wire/users.hpp"
+#include "wire/workers.hpp"
 
 namespace bendspindle {
 namespace {
--- a/tests/standin/services.cpp
+++ b/tests/standin/services.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "wire/workers.hpp"
+
 namespace bendspindle::standin {
 
 namespace {
--- a/tests/standin/services.hpp
+++ b/tests/standin/services.hpp
@@ -14,7 +14,7 @@
 #include <thread>
 #include <vector>
 
-#include "wire/codec.hpp"
+#include "wire/cbor.hpp"
 
 namespace bendspindle::standin {
 
