Dispatch is split into modules with one job each

Cause: src/core/dispatch took over reports, gave orders, made direct calls and judged failing machines and jobs in one class of 25 functions (534 lines).

Change: reconciliation takes a machine's task list over into placements; orders holds the ready list, stops and drains; direct_calls says which calls are due and what became of their orders; failures judges machines and jobs; start_stories tells where the time until a start went. Dispatch keeps the order in which a worker's message passes through them. Bodies are moved as they were; renamed are DirectCalls::due (direct_calls) and StartStories::note (note_start), and Failures::task_done is new, with three lines of task_exited.

Conclusion: nothing is decided differently.

--- a/src/core/dispatch.hpp
+++ b/src/core/dispatch.hpp
@@ -1,129 +1,73 @@
 // Between the jobs' placements and the workers: what reports say is taken over into placements,
-// and what placements ask for goes out as orders, with answers to reports or in direct calls.
+// and what placements ask for goes out as orders, with answers to reports or in direct calls. The
+// place where messages of workers enter; what each part does is in its own module.
 //
 // Starts travel in answers to reports, which a worker executes before its next report or never, or
-// in direct calls, which may arrive minutes late. A task is idle again only when a confirmed
-// report shows it gone or its machine is proven gone (docs/design.md, "Placing anew").
+// in direct calls, which may arrive minutes late.
 #pragma once
 
 #include <cstdint>
 #include <set>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "core/catalog.hpp"
 #include "core/config.hpp"
+#include "core/direct_calls.hpp"
+#include "core/dispatch_counts.hpp"
 #include "core/estimates.hpp"
+#include "core/failures.hpp"
 #include "core/fleet.hpp"
+#include "core/orders.hpp"
 #include "core/pipelines.hpp"
+#include "core/reconciliation.hpp"
+#include "core/start_stories.hpp"
 
 namespace bendspindle::core {
 
-// Orders that go to a worker's own address instead of waiting for its next report. Without
-// orders it raises the worker's token and brings its report back.
-struct DirectCall {
-    std::string machine;
-    std::string address;
-    std::uint64_t token = 0;
-    std::uint64_t session = 0;
-    std::vector<Order> orders;
-};
-enum class CallOutcome : std::uint8_t { executed, rejected, unknown };
-
 struct ReportAnswer {
     bool entitled = true;  // false: the worker knows a newer token than this controller
     std::uint64_t token = 0;
     std::vector<Order> orders;
 };
 
-// What the time from a job's acceptance here to its start went into, for logs and measurements: of
-// a gang the latest of its tasks, of an array the first.
-struct StartStory {
-    std::string job;
-    std::string job_class;
-    std::string team;
-    std::uint32_t tasks = 0;
-    bool stopped_others = false;
-    Seconds record{0};  // until the job was durable
-    Seconds room{0};    // until room was found, or others were told to make it
-    Seconds saves{0};   // until those had saved and gone
-    Seconds report{0};  // until the machine told of the task
-    Seconds image{0};   // until it ran: its image, and the others of its gang
-    Seconds total() const { return record + room + saves + report + image; }
-};
-
-struct DispatchCounts {
-    std::uint64_t starts = 0, lost = 0, errors = 0, refused_starts = 0;
-};
-
 class Dispatch {
   public:
     Dispatch(const Config& config, const Catalog& catalog, Fleet& fleet, Pipelines& pipelines,
-             Estimates& estimates, std::uint64_t epoch)
-        : config_(config),
-          catalog_(catalog),
-          fleet_(fleet),
-          pipelines_(pipelines),
-          estimates_(estimates),
-          epoch_(epoch) {}
+             Estimates& estimates, std::uint64_t epoch);
+    // Its parts refer to each other.
+    Dispatch(const Dispatch&) = delete;
+    Dispatch& operator=(const Dispatch&) = delete;
 
     ReportAnswer report(const Report& report, TimePoint now);
     // Direct calls that are due now; each is settled by `called`.
-    std::vector<DirectCall> direct_calls(TimePoint now, bool may_start);
+    std::vector<DirectCall> direct_calls(TimePoint now, bool may_start) {
+        return direct_calls_.due(now, may_start);
+    }
     // `answer` is the worker's report, if there was one.
     void called(const DirectCall& call, CallOutcome outcome, const Report* answer, TimePoint now);
     // What must leave machines that are taken, returned or failing.
-    void drain(TimePoint now);
+    void drain(TimePoint now) { orders_.drain(now); }
     // The release of a machine was answered.
     void released(const std::string& name);
     // Jobs that are over, as far as they are known, with tasks on machines by the books or by the
     // last report: whoever renews the leases of these machines has to stop them.
-    std::set<std::string> jobs_to_end() const;
+    std::set<std::string> jobs_to_end() const { return orders_.jobs_to_end(); }
     const DispatchCounts& counts() const { return counts_; }
     // Jobs that have started since the last call.
-    std::vector<StartStory> take_started() { return std::exchange(started_, {}); }
+    std::vector<StartStory> take_started() { return starts_.take(); }
 
   private:
-    // How a task list came: as a report, or as the answer to a direct call between two reports.
-    enum class Source : std::uint8_t { report, direct_answer };
-    using Seen = std::set<HeldKey>;
-
-    bool nothing_new(const Machine& machine, const Report& report) const;
-    void reconcile(Machine& machine, const Report& report, Source source, TimePoint now,
-                   std::vector<Order>& orders);
-    void take_over_task(Machine& machine, const ReportedTask& task, TimePoint now, Seen& seen,
-                        std::vector<Order>& orders);
-    void take_over_exit(Machine& machine, Job& job, const ReportedTask& task, TimePoint now,
-                        std::vector<Order>& orders);
-    void adopt(Machine& machine, Job& job, const ReportedTask& task, TimePoint now);
-    void settle_absent(Machine& machine, const std::vector<HeldKey>& held, const Report& report,
-                       Source source, const Seen& seen, TimePoint now, std::vector<Order>& orders);
-    void stop_finished_jobs(const Report& report, std::vector<Order>& orders) const;
-    bool must_end(const std::string& id) const;
-    void note_start(Job& job, TimePoint now);
-    void count_strays(Machine& machine) const;
-    void task_exited(Machine& machine, Job& job, const ReportedTask& task, TimePoint now);
-    void task_failed(Machine& machine, Job& job, TimePoint ordered_at, TimePoint now);
-    void weigh(const Job& job, double weight);
-    void clear_job(Job& job);
-    static void judge(Machine& machine);
-    void settle_start(Machine& machine, const Order& order, const DirectCall& call,
-                      CallOutcome outcome, const Report* answer);
-    void repeat_stop(const Order& order);
-    void drain(Machine& machine, TimePoint now);
-    void unbind(Machine& machine);
-    void stop_ready(Machine& machine, TimePoint now, std::vector<Order>& orders) const;
-    void start_ready(Machine& machine, TimePoint now, bool direct, std::vector<Order>& orders);
-
-    const Config& config_;
-    const Catalog& catalog_;
     Fleet& fleet_;
     Pipelines& pipelines_;
-    Estimates& estimates_;
     const std::uint64_t epoch_;
+    // In the order of what refers to what.
     DispatchCounts counts_;
-    std::vector<StartStory> started_;
+    StartStories starts_;
+    Failures failures_;
+    Orders orders_;
+    DirectCalls direct_calls_;
+    Reconciliation reconciliation_;
 };
 
 }  // namespace bendspindle::core
--- /dev/null
+++ b/src/core/failures.hpp
@@ -0,0 +1,27 @@
+// Judges machines and jobs by tasks that fail: failures of several jobs speak against the machine,
+// failures on several machines against the job.
+#pragma once
+
+#include "core/fleet.hpp"
+#include "core/job.hpp"
+
+namespace bendspindle::core {
+
+class Failures {
+  public:
+    explicit Failures(Fleet& fleet) : fleet_(fleet) {}
+
+    // A task of the job was done on the machine: nothing speaks against either any more.
+    void task_done(Machine& machine, Job& job);
+    // A task that was ordered at `ordered_at` ended with an error.
+    void task_failed(Machine& machine, Job& job, TimePoint ordered_at, TimePoint now);
+
+  private:
+    void weigh(const Job& job, double weight);
+    void clear_job(Job& job);
+    static void judge(Machine& machine);
+
+    Fleet& fleet_;
+};
+
+}  // namespace bendspindle::core
--- /dev/null
+++ b/src/core/orders.hpp
@@ -0,0 +1,60 @@
+// Orders that workers are due: starts of what is in a machine's ready list, stops of what must make
+// room, is over or leaves with its machine. They are given with the answer to a report or in a
+// direct call; which of the two is the caller's choice.
+#pragma once
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/catalog.hpp"
+#include "core/config.hpp"
+#include "core/dispatch_counts.hpp"
+#include "core/estimates.hpp"
+#include "core/fleet.hpp"
+#include "core/pipelines.hpp"
+
+namespace bendspindle::core {
+
+// An order that concerns a reported task; a stop of this form gives it no time to save.
+Order order_for(Order::Verb verb, const ReportedTask& task);
+
+class Orders {
+  public:
+    Orders(const Config& config, const Catalog& catalog, Fleet& fleet, Pipelines& pipelines,
+           const Estimates& estimates, DispatchCounts& counts)
+        : config_(config),
+          catalog_(catalog),
+          fleet_(fleet),
+          pipelines_(pipelines),
+          estimates_(estimates),
+          counts_(counts) {}
+
+    // Stops that are due and not on their way already.
+    void stop_ready(Machine& machine, TimePoint now, std::vector<Order>& orders) const;
+    // Starts of the ready list, as far as there is room. `direct`: they go out in a direct call.
+    void start_ready(Machine& machine, TimePoint now, bool direct, std::vector<Order>& orders);
+    // Stops of all that the report shows of jobs that are over.
+    void stop_finished_jobs(const Report& report, std::vector<Order>& orders) const;
+    // Jobs that are over, as far as they are known, with tasks on machines by the books or by the
+    // last report: whoever renews the leases of these machines has to stop them.
+    std::set<std::string> jobs_to_end() const;
+
+    // What must leave machines that are taken, returned or failing.
+    void drain(TimePoint now);
+    void drain(Machine& machine, TimePoint now);
+    // Bound tasks leave the machine's ready list and are placed anew.
+    void unbind(Machine& machine);
+
+  private:
+    bool must_end(const std::string& id) const;
+
+    const Config& config_;
+    const Catalog& catalog_;
+    Fleet& fleet_;
+    Pipelines& pipelines_;
+    const Estimates& estimates_;
+    DispatchCounts& counts_;
+};
+
+}  // namespace bendspindle::core
--- /dev/null
+++ b/src/core/reconciliation.hpp
@@ -0,0 +1,66 @@
+// Takes over into placements what a machine's task list says: what runs, what has exited, what is
+// no longer there, and what is there without being placed.
+//
+// A task is idle again only when a confirmed report shows it gone or its machine is proven gone
+// (docs/design.md, "Placing anew").
+#pragma once
+
+#include <cstdint>
+#include <set>
+#include <vector>
+
+#include "core/catalog.hpp"
+#include "core/dispatch_counts.hpp"
+#include "core/estimates.hpp"
+#include "core/failures.hpp"
+#include "core/fleet.hpp"
+#include "core/orders.hpp"
+#include "core/pipelines.hpp"
+#include "core/start_stories.hpp"
+
+namespace bendspindle::core {
+
+class Reconciliation {
+  public:
+    // How a task list came: as a report, or as the answer to a direct call between two reports.
+    enum class Source : std::uint8_t { report, direct_answer };
+
+    Reconciliation(const Catalog& catalog, Fleet& fleet, Pipelines& pipelines, Estimates& estimates,
+                   Failures& failures, StartStories& starts, DispatchCounts& counts)
+        : catalog_(catalog),
+          fleet_(fleet),
+          pipelines_(pipelines),
+          estimates_(estimates),
+          failures_(failures),
+          starts_(starts),
+          counts_(counts) {}
+
+    // The machine is confirmed and the report newer than any before. Adds the orders that follow
+    // from it: tasks to stop or forget, and starts to repeat.
+    void reconcile(Machine& machine, const Report& report, Source source, TimePoint now,
+                   std::vector<Order>& orders);
+
+  private:
+    using Seen = std::set<HeldKey>;
+
+    bool nothing_new(const Machine& machine, const Report& report) const;
+    void take_over_task(Machine& machine, const ReportedTask& task, TimePoint now, Seen& seen,
+                        std::vector<Order>& orders);
+    void take_over_exit(Machine& machine, Job& job, const ReportedTask& task, TimePoint now,
+                        std::vector<Order>& orders);
+    void adopt(Machine& machine, Job& job, const ReportedTask& task, TimePoint now);
+    void settle_absent(Machine& machine, const std::vector<HeldKey>& held, const Report& report,
+                       Source source, const Seen& seen, TimePoint now, std::vector<Order>& orders);
+    void count_strays(Machine& machine) const;
+    void task_exited(Machine& machine, Job& job, const ReportedTask& task, TimePoint now);
+
+    const Catalog& catalog_;
+    Fleet& fleet_;
+    Pipelines& pipelines_;
+    Estimates& estimates_;
+    Failures& failures_;
+    StartStories& starts_;
+    DispatchCounts& counts_;
+};
+
+}  // namespace bendspindle::core
--- a/src/wire/workers.hpp
+++ b/src/wire/workers.hpp
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <vector>
 
-#include "core/dispatch.hpp"
+#include "core/direct_calls.hpp"
 #include "core/types.hpp"
 
 namespace bendspindle::wire {
