--- a/tools/reports.py
+++ b/tools/reports.py
@@ -87,3 +87,39 @@
                 count[0] += wait <= aim
                 count[1] += 1
     return {key: (met / of, of) for key, (met, of) in sorted(counts.items())}
+
+
+def largest_starved(report):
+    """Less than half of the largest jobs of a class have begun, a line each."""
+    return [f"only {seen['started'] / seen['jobs']:.2f} of the largest of class {name} started"
+            for name, seen in report.get("largest", {}).items()
+            if seen["jobs"] and seen["started"] / seen["jobs"] < HALF]
+
+
+def least_served(report):
+    """The smallest share done of a class, or started of a team or of a class's largest jobs."""
+    shares = [(row["done"], row["class"]) for row in rows_of(report)]
+    shares += [(row["started"], row["team"]) for row in teams_of(report)]
+    shares += [(seen["started"] / seen["jobs"], f"largest {name}")
+               for name, seen in report.get("largest", {}).items() if seen["jobs"]]
+    return min(shares, default=(1.0, "-"))
+
+
+def ended_by_themselves(report):
+    """How often controllers ended for another reason than a fault of the day."""
+    return sum(restart["why"] != "fault" for node in report.get("node_stats", [])
+               for restart in node["restarts"])
+
+
+def against(report):
+    """All that speaks against a day, a line each: broken rules, processes that ended by themselves,
+    jobs left waiting beside room, and less than half served."""
+    out = [f"rule broken: {rule} {count}"
+           for rule, count in sorted(report["rules_broken"]["by_kind"].items()) if count]
+    panics = sum(node["panics"] for node in report.get("node_stats", []))
+    ended = ended_by_themselves(report)
+    neglected = report.get("idle", {}).get("neglected", 0)
+    out += [f"{panics} panics"] if panics else []
+    out += [f"controllers ended by themselves {ended} times"] if ended else []
+    out += [f"{neglected} jobs left waiting beside room"] if neglected else []
+    return out + starved(report) + largest_starved(report)
