--- a/tests/day_generator_test.py
+++ b/tests/day_generator_test.py
@@ -187,7 +187,10 @@
     def test_a_fault_with_a_wrong_field_is_refused(self):
         for kind, fields in (("no_such", {}), ("state_outage", {}), ("machine_mute", {"for_s": 3.0}),
                              ("state_outage", {"for_s": 1.0, "share": 0.2}),
-                             ("machine_deaf", {"for_s": 3.0, "share": 0.1, "count": 2})):
+                             ("machine_deaf", {"for_s": 3.0, "share": 0.1, "count": 2}),
+                             ("zone_cut", {"zone": "north", "for_s": 3.0, "mode": "refuse"}),
+                             ("node_cut", {"count": 1, "busiest": True, "for_s": 3.0,
+                                           "from_workers": True, "mode": "refuse"})):
             with self.assertRaises(ValueError, msg=kind):
                 day_generator.Fault(1.0, kind, fields)
 
@@ -257,6 +260,7 @@
             "with (at / 'calls').open('a') as out: out.write(' '.join(sys.argv[1:]) + '\\n')\n"
             "if sys.argv[1] == 'run':\n"
             "    print('what the bench writes')\n"
+            "    print('the run ended')\n"
             "    site, day = map(pathlib.Path, sys.argv[2:4])\n"
             f"    chosen = {written!r} if {only!r} in day.name else {report()!r}\n"
             "    if chosen is not None:\n"
--- a/tools/day_generator.py
+++ b/tools/day_generator.py
@@ -18,6 +18,8 @@
 SHORTEST_DAY_S = 300.0
 SAFE_NAME = re.compile(r"[a-z0-9][a-z0-9-]*")
 MODES = ("hold", "refuse", "reset")
+# A zone and the workers are cut off in these ways only.
+FAR_MODES = ("hold", "reset")
 
 Value = float | int | bool | str
 
@@ -122,6 +124,9 @@
             raise ValueError(f"{self.kind} does not go with {', '.join(sorted(given)) or 'nothing'}")
         if self.kind in ("machine_deaf", "machine_mute") and len(given & TARGETS) != 1:
             raise ValueError(f"{self.kind} takes one of {', '.join(sorted(TARGETS))}")
+        far = self.kind == "zone_cut" or "from_workers" in given
+        if "mode" in given and self.fields["mode"] not in (FAR_MODES if far else MODES):
+            raise ValueError(f"{self.kind} does not go with mode {self.fields['mode']}")
 
     def end_s(self, site: Site) -> float:
         """When nothing of it goes on any more."""
@@ -202,8 +207,8 @@
 
 
 def leader_without_workers(draw: Draw, moment: float, for_s: float) -> Fault:
-    return at(moment, "node_cut", count=1, busiest=True, from_workers=True, mode=draw.one(MODES),
-              for_s=for_s)
+    return at(moment, "node_cut", count=1, busiest=True, from_workers=True,
+              mode=draw.one(FAR_MODES), for_s=for_s)
 
 
 def machines_unreached(draw: Draw, site: Site, moment: float, for_s: float) -> Fault:
@@ -276,7 +281,8 @@
 def cancel_while_zone_cut(draw: Draw, site: Site, moment: float) -> list[Fault]:
     """A zone with workers and a controller is away for longer than a lease."""
     for_s = round(site.lease_s * draw.between(1.1, 2.5), 2)
-    out = [at(moment, "zone_cut", zone=draw.one(site.zones), for_s=for_s, mode=draw.one(MODES)),
+    out = [at(moment, "zone_cut", zone=draw.one(site.zones), for_s=for_s,
+              mode=draw.one(FAR_MODES)),
            cancel_now(draw, moment + draw.between(0.5, 8))]
     if draw.chance(0.4):
         out.append(long_outage(draw, site, moment + draw.between(6, 10)))
