--- a/tests/day_generator_test.py
+++ b/tests/day_generator_test.py
@@ -127,6 +127,7 @@
     def test_each_theme_draws_what_it_is_named_for(self):
         wanted = {
             "many-leaders": {"close_looks", "late_writes", "cancel_now", "node_crash", "state_outage"},
+            "through-terms": {"cancel_now", "node_crash", "late_reports"},
             "cancel-and-cut": {"cancel_now", "node_cut", "zone_cut"},
             "close-looks": {"close_looks", "late_writes", "cancel_at_end", "odd_requests"},
             "small-jobs": {"cancel_at_end", "late_writes"},
@@ -171,6 +172,19 @@
                     and out.at_s < fault.at_s < out.at_s + out.fields["for_s"]]
             self.assertGreaterEqual(len(ends), 3, day.name)
 
+    def test_through_terms_leaders_change_until_a_cancellation_has_had_its_time(self):
+        changes = ("node_crash", "node_cut", "node_freeze")
+        for day in self.made("through-terms"):
+            cancels = [fault for fault in day.plan.faults if fault.kind == "cancel_now"]
+            self.assertEqual(len(cancels), 2)
+            for cancel in cancels:
+                self.assertGreaterEqual(cancel.fields["hang_s"], 10.0)
+                times = [fault.at_s - cancel.at_s for fault in day.plan.faults if fault.kind in changes
+                         and 0 < fault.at_s - cancel.at_s < self.site.cancel_s]
+                self.assertLessEqual(min(times), 0.31)
+                self.assertGreater(max(times), self.site.cancel_s - 10.0)
+                self.assertGreaterEqual(len(times), 3)
+
     def test_outages_are_short_and_longer_than_a_cancellation_has(self):
         lengths = [fault.fields["for_s"] for day in self.made("outage") for fault in day.plan.faults
                    if fault.kind == "state_outage"]
--- a/tools/day_generator.py
+++ b/tools/day_generator.py
@@ -364,6 +364,22 @@
     return out
 
 
+def cancel_through_terms(draw: Draw, site: Site, moment: float) -> list[Fault]:
+    """Machines are unreached or hang as users cancel, the leader that confirms ends, and leader after
+    leader follows until the cancellation has had its time."""
+    cancel = moment + draw.between(3, 25)
+    out = [machines_unreached(draw, site, moment, draw.between(site.lease_s, 1.5 * site.cancel_s)),
+           at(cancel, "cancel_now", count=draw.whole(30, 60), hang_s=draw.between(10, 25)),
+           leader_ends(cancel + draw.one((0.05, 0.3)))]
+    step = cancel + draw.between(1, 8)
+    while step < cancel + site.cancel_s:
+        out += change_of_leader(draw, step)
+        step += draw.between(1, 10)
+    if draw.chance(0.7):
+        out.append(at(cancel + draw.between(5, 40), "state_outage", for_s=draw.between(1, 12)))
+    return out
+
+
 Meeting = Callable[[Draw, Site, float], list[Fault]]
 
 
@@ -419,6 +435,12 @@
     return Plan(faults, long_tasks(draw, site, cancelled(draw, site)), slow_state(draw))
 
 
+def through_terms(draw: Draw, site: Site) -> Plan:
+    faults = in_turn(draw, site, [cancel_through_terms, cancel_through_terms])
+    faults.append(late_reports(draw, FIRST_S, span_of(faults)))
+    return Plan(faults, long_tasks(draw, site, cancelled(draw, site)), slow_state(draw))
+
+
 def cancel_and_cut(draw: Draw, site: Site) -> Plan:
     meetings = [cancel_while_refused, cancel_while_apart, cancel_while_zone_cut, cancel_then_end]
     faults = in_turn(draw, site, draw.some(meetings, 4))
@@ -493,6 +515,7 @@
 
 THEMES: dict[str, Callable[[Draw, Site], Plan]] = {
     "many-leaders": many_leaders,
+    "through-terms": through_terms,
     "cancel-and-cut": cancel_and_cut,
     "close-looks": close_looks,
     "small-jobs": small_jobs,
