A theme of machines that wake when a lease is left of a cancellation

Machines hang until a lease before the cancellation has had its time: an answer that renews then without knowing of it breaks ran_cancelled. Leaders end around that moment and an outage follows. Test: hang, ends and outage lie where the theme says.

--- a/tests/day_generator_test.py
+++ b/tests/day_generator_test.py
@@ -128,6 +128,7 @@
         wanted = {
             "many-leaders": {"close_looks", "late_writes", "cancel_now", "node_crash", "state_outage"},
             "through-terms": {"cancel_now", "node_crash", "late_reports"},
+            "late-hangs": {"cancel_now", "machine_mute", "node_crash", "state_outage"},
             "cancel-and-cut": {"cancel_now", "node_cut", "zone_cut"},
             "close-looks": {"close_looks", "late_writes", "cancel_at_end", "odd_requests"},
             "small-jobs": {"cancel_at_end", "late_writes"},
@@ -185,6 +186,18 @@
                 self.assertGreater(max(times), self.site.cancel_s - 10.0)
                 self.assertGreaterEqual(len(times), 3)
 
+    def test_late_hangs_end_when_a_lease_is_left_of_a_cancellation(self):
+        for day in self.made("late-hangs"):
+            faults = day.plan.faults
+            for cancel in (fault for fault in faults if fault.kind == "cancel_now"):
+                awake = cancel.at_s + cancel.fields["hang_s"]
+                left = cancel.at_s + self.site.cancel_s - awake
+                self.assertLess(abs(left - self.site.lease_s), 4.1, day.name)
+                self.assertTrue(any(fault.kind == "node_crash" and abs(fault.at_s - awake) < 0.81
+                                    for fault in faults), day.name)
+                self.assertTrue(any(fault.kind == "state_outage" and 0 < fault.at_s - awake < 10.1
+                                    for fault in faults), day.name)
+
     def test_outages_are_short_and_longer_than_a_cancellation_has(self):
         lengths = [fault.fields["for_s"] for day in self.made("outage") for fault in day.plan.faults
                    if fault.kind == "state_outage"]
--- a/tools/day_generator.py
+++ b/tools/day_generator.py
@@ -380,6 +380,24 @@
     return out
 
 
+def cancel_until_a_lease_is_left(draw: Draw, site: Site, moment: float) -> list[Fault]:
+    """Machines go on after a hang just as long as a lease before the cancellation has had its time: an
+    answer that renews then must know of it. Leaders change at that moment, and an outage follows."""
+    left = site.cancel_s - site.lease_s
+    cancel = moment + draw.between(5, 25)
+    awake = cancel + left + draw.between(-1.5, 4)
+    out = [at(moment, "machine_mute", share=draw.between(0.2, 0.5), for_s=round(awake - 5 - moment, 2)),
+           at(cancel, "cancel_now", count=draw.whole(40, 60), hang_s=round(awake - cancel, 2)),
+           leader_ends(cancel + draw.one((0.05, 0.3))),
+           *change_of_leader(draw, cancel + draw.between(3, 0.6 * left)),
+           *change_of_leader(draw, awake - draw.between(2, 6)),
+           leader_ends(awake + draw.between(-0.8, 0.4), draw.whole(1, site.nodes))]
+    out += [leader_ends(awake + draw.between(1, 8), draw.whole(1, 2)) for _ in range(2)]
+    outage = awake + draw.between(2, 10)
+    out.append(at(outage, "state_outage", for_s=round(draw.between(0.5, 1.0) * site.lease_s, 2)))
+    return out + [leader_ends(outage + 0.8 * (step + 1), draw.whole(1, 2)) for step in range(2)]
+
+
 Meeting = Callable[[Draw, Site, float], list[Fault]]
 
 
@@ -441,6 +459,11 @@
     return Plan(faults, long_tasks(draw, site, cancelled(draw, site)), slow_state(draw))
 
 
+def late_hangs(draw: Draw, site: Site) -> Plan:
+    faults = in_turn(draw, site, [cancel_until_a_lease_is_left] * 3)
+    return Plan(faults, long_tasks(draw, site, cancelled(draw, site)), slow_state(draw))
+
+
 def cancel_and_cut(draw: Draw, site: Site) -> Plan:
     meetings = [cancel_while_refused, cancel_while_apart, cancel_while_zone_cut, cancel_then_end]
     faults = in_turn(draw, site, draw.some(meetings, 4))
@@ -516,6 +539,7 @@
 THEMES: dict[str, Callable[[Draw, Site], Plan]] = {
     "many-leaders": many_leaders,
     "through-terms": through_terms,
+    "late-hangs": late_hangs,
     "cancel-and-cut": cancel_and_cut,
     "close-looks": close_looks,
     "small-jobs": small_jobs,
