A theme of machines that hear nothing after the hang of a cancellation

A first answer of a new leader that renews without the stop, and then none for longer than a lease: the order of events in which a cancelled task outlives its time. Test: the events lie so.

--- a/tests/day_generator_test.py
+++ b/tests/day_generator_test.py
@@ -129,6 +129,7 @@
             "many-leaders": {"close_looks", "late_writes", "cancel_now", "node_crash", "state_outage"},
             "through-terms": {"cancel_now", "node_crash", "late_reports"},
             "late-hangs": {"cancel_now", "machine_mute", "node_crash", "state_outage"},
+            "deaf-after-hang": {"cancel_now", "late_commands", "machine_deaf", "node_crash"},
             "cancel-and-cut": {"cancel_now", "node_cut", "zone_cut"},
             "close-looks": {"close_looks", "late_writes", "cancel_at_end", "odd_requests"},
             "small-jobs": {"cancel_at_end", "late_writes"},
@@ -198,6 +199,18 @@
                 self.assertTrue(any(fault.kind == "state_outage" and 0 < fault.at_s - awake < 10.1
                                     for fault in faults), day.name)
 
+    def test_machines_are_deaf_right_after_a_hang_for_longer_than_a_lease(self):
+        for day in self.made("deaf-after-hang"):
+            faults = day.plan.faults
+            for cancel in (fault for fault in faults if fault.kind == "cancel_now"):
+                awake = cancel.at_s + cancel.fields["hang_s"]
+                deaf = [fault for fault in faults if fault.kind == "machine_deaf"
+                        and 0 < fault.at_s - awake < 6.1]
+                self.assertTrue(deaf, day.name)
+                self.assertGreater(deaf[0].fields["for_s"], self.site.lease_s)
+                self.assertTrue(any(fault.kind == "node_crash" and
+                                    awake - 2.1 < fault.at_s < deaf[0].at_s for fault in faults))
+
     def test_outages_are_short_and_longer_than_a_cancellation_has(self):
         lengths = [fault.fields["for_s"] for day in self.made("outage") for fault in day.plan.faults
                    if fault.kind == "state_outage"]
--- a/tools/day_generator.py
+++ b/tools/day_generator.py
@@ -398,6 +398,21 @@
     return out + [leader_ends(outage + 0.8 * (step + 1), draw.whole(1, 2)) for step in range(2)]
 
 
+def cancel_renewed_once_more(draw: Draw, site: Site, moment: float) -> list[Fault]:
+    """As a machine wakes the leader has just changed and its first answer may renew; then the machine
+    hears nothing for longer than a lease, and commands to it are held up before that."""
+    left = site.cancel_s - site.lease_s
+    awake = moment + left + draw.between(0, 4)
+    deaf = awake + draw.between(0.3, 6)
+    return [at(moment, "cancel_now", count=draw.whole(40, 60), hang_s=round(awake - moment, 2)),
+            at(awake - 4, "late_commands", share=draw.between(0.5, 0.95), for_s=10.0),
+            leader_ends(awake - draw.between(-0.5, 2)),
+            leader_ends(deaf - draw.between(0.1, 1)),
+            at(deaf, "machine_deaf", share=draw.between(0.5, 0.9),
+               for_s=round(site.lease_s + draw.between(5, 20), 2)),
+            *change_of_leader(draw, deaf + draw.between(2, 15))]
+
+
 Meeting = Callable[[Draw, Site, float], list[Fault]]
 
 
@@ -464,6 +479,11 @@
     return Plan(faults, long_tasks(draw, site, cancelled(draw, site)), slow_state(draw))
 
 
+def deaf_after_hang(draw: Draw, site: Site) -> Plan:
+    faults = in_turn(draw, site, [cancel_renewed_once_more] * 3)
+    return Plan(faults, long_tasks(draw, site, cancelled(draw, site)), slow_state(draw))
+
+
 def cancel_and_cut(draw: Draw, site: Site) -> Plan:
     meetings = [cancel_while_refused, cancel_while_apart, cancel_while_zone_cut, cancel_then_end]
     faults = in_turn(draw, site, draw.some(meetings, 4))
@@ -540,6 +560,7 @@
     "many-leaders": many_leaders,
     "through-terms": through_terms,
     "late-hangs": late_hangs,
+    "deaf-after-hang": deaf_after_hang,
     "cancel-and-cut": cancel_and_cut,
     "close-looks": close_looks,
     "small-jobs": small_jobs,
