The state service's stand-in by itself, with counts, limits and pages

The stand-in of the process tests looked through all keys every 20 ms for each open watch, and listed everything in one page. Change: tests/standin/state_service, a library of its own: a list of changes for watches (410 beyond the last 10,000), pages, 429 beyond requests and writes a second, counts by port, connections kept if asked for. The process tests use it without limits, as before. Conclusion: nothing changes for the process tests.

--- a/tests/standin/services.hpp
+++ b/tests/standin/services.hpp
@@ -1,4 +1,4 @@
-// Stand-ins of the state service, the cloud and the workers over HTTP on loopback, for the process
+// Stand-ins of the cloud and the workers over HTTP on loopback, for the process
 // test. They speak the published protocol with as little behaviour as the test needs.
 #pragma once
 
@@ -14,66 +14,11 @@
 #include <thread>
 #include <vector>
 
+#include "standin/state_service.hpp"
 #include "wire/codec.hpp"
 
 namespace bendspindle::standin {
 
-class StateService {
-  public:
-    explicit StateService(int port) : StateService(std::vector<int>{port}) {}
-    // The same service at several ports, so that it can refuse who comes by one of them.
-    explicit StateService(const std::vector<int>& ports);
-    ~StateService();
-    // The next transactions get their answers this late and are carried out only then, in turn.
-    void hold(std::vector<std::chrono::milliseconds> times) {
-        const std::lock_guard lock(mutex_);
-        held_ = std::move(times);
-    }
-    // Answers 503 at that port, and no watch there has news; leases run on.
-    void refuse_at(std::size_t port, bool refuse) { fronts_[port]->refuses = refuse; }
-    // The same for all, and no lease ends; afterwards each has its full time again.
-    void outage(bool down);
-    // Calls every transaction malformed that puts this key, as one with too large a value.
-    void refuse(const std::string& key) {
-        const std::lock_guard lock(mutex_);
-        refused_ = key;
-    }
-
-  private:
-    using Clock = std::chrono::steady_clock;
-    struct Item {
-        wire::Value value;
-        std::uint64_t stamp = 0;
-        std::uint64_t lease = 0;
-    };
-    struct Lease {
-        std::chrono::milliseconds life{0};
-        Clock::time_point ends{};
-    };
-    void expire();
-    void end(std::uint64_t lease);
-    void transact(const httplib::Request& request, httplib::Response& response);
-
-    std::mutex mutex_;
-    std::uint64_t revision_ = 1;
-    std::uint64_t next_lease_ = 0;
-    std::map<std::string, Item> items_;
-    std::map<std::uint64_t, Lease> leases_;
-    std::string refused_;
-    std::vector<std::chrono::milliseconds> held_;
-    std::map<std::string, std::uint64_t> deleted_;  // by key: the revision of its deletion
-    std::atomic<bool> ending_{false};
-    struct Front {
-        std::atomic<bool> refuses{false};
-        httplib::Server server;
-        std::thread thread;
-    };
-    void serve(Front& front, int port);
-    bool refused(const Front& front) const { return down_ || front.refuses; }
-    std::atomic<bool> down_{false};
-    std::vector<std::unique_ptr<Front>> fronts_;
-};
-
 // One machine type; each rented machine is a worker thread that reports to the controllers.
 class CloudAndWorkers {
   public:
