--- /dev/null
+++ b/scale/worker.cpp
@@ -0,0 +1,263 @@
+#include "worker.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "wire/codec.hpp"
+
+namespace bendspindle::scale {
+
+namespace {
+
+using core::ExitCause;
+using core::TaskState;
+using wire::Value;
+
+core::Order order_from(const Value& entry) {
+    core::Order order;
+    const auto verb = entry.at("verb").get<std::string>();
+    if (verb == "stop")
+        order.verb = core::Order::Verb::stop;
+    else if (verb == "reap")
+        order.verb = core::Order::Verb::forget;
+    const auto piece = entry.at("piece").get<std::string>();
+    const auto slash = piece.rfind('/');
+    order.job = piece.substr(0, slash);
+    order.index = static_cast<std::uint32_t>(std::stoul(piece.substr(slash + 1)));
+    order.attempt = entry.at("try").get<std::uint64_t>();
+    order.grace = Seconds(entry.value("wind_down_s", 0.0));
+    return order;
+}
+
+}  // namespace
+
+std::optional<Commands> parse_commands(std::string_view body) {
+    const auto parsed = wire::parse_cbor(body);
+    if (!parsed || !parsed->is_object()) return std::nullopt;
+    try {
+        Commands out;
+        if (parsed->contains("baton")) out.token = parsed->at("baton").get<std::uint64_t>();
+        if (parsed->contains("shift")) out.session = parsed->at("shift").get<std::uint64_t>();
+        if (parsed->contains("orders"))
+            for (const auto& entry : parsed->at("orders")) out.orders.push_back(order_from(entry));
+        return out;
+    } catch (const std::exception&) {
+        return std::nullopt;
+    }
+}
+
+HollowWorker::HollowWorker(MachineIdentity identity, core::WorkerTimes times, Workplace& workplace,
+                           TimePoint now)
+    : identity_(std::move(identity)), times_(times), workplace_(workplace), lease_from_(now) {}
+
+HollowWorker::~HollowWorker() = default;
+
+core::Report HollowWorker::report() {
+    core::Report out;
+    out.machine = identity_.name;
+    out.address = identity_.address;
+    out.type = identity_.type;
+    out.zone = identity_.zone;
+    out.session = session_;
+    out.seq = ++seq_;
+    out.token = token_;
+    for (const auto& task : tasks_) out.tasks.push_back(task.seen);
+    return out;
+}
+
+bool HollowWorker::answered(TimePoint sent, std::uint64_t session, const Commands& commands,
+                            TimePoint now) {
+    if (session != session_ || !commands.token || *commands.token < token_) return false;
+    saw_token(*commands.token, now);
+    lease_from_ = std::max(lease_from_, sent);
+    for (const auto& order : commands.orders) execute(order, now);
+    return true;
+}
+
+int HollowWorker::direct(const Commands& commands, TimePoint now) {
+    if (!commands.token || !commands.session) return 400;
+    if (*commands.token < token_ || *commands.session != session_) return 409;
+    saw_token(*commands.token, now);
+    for (const auto& order : commands.orders) execute(order, now);
+    return 200;
+}
+
+// A higher token is a change at most once in half of a lease.
+void HollowWorker::saw_token(std::uint64_t token, TimePoint now) {
+    if (token <= token_) return;
+    token_ = token;
+    if (token_counted_ && core::later(*token_counted_, times_.lease / 2) > now) return;
+    token_counted_ = now;
+    mark_changed();
+}
+
+void HollowWorker::execute(const core::Order& order, TimePoint now) {
+    const auto it = std::find_if(tasks_.begin(), tasks_.end(), [&](const Task& task) {
+        return task.seen.job == order.job && task.seen.index == order.index &&
+               task.seen.attempt == order.attempt;
+    });
+    const bool known = it != tasks_.end();
+    switch (order.verb) {
+        case core::Order::Verb::start:
+            if (!known) start(order, now);
+            return;
+        case core::Order::Verb::stop:
+            if (known && it->seen.state != TaskState::exited) exit(*it, ExitCause::stopped, now);
+            return;
+        case core::Order::Verb::forget:
+            if (known && it->seen.state == TaskState::exited) tasks_.erase(it);
+            return;
+    }
+}
+
+ExitCause HollowWorker::refusal(const core::Order& order) const {
+    const auto* job = workplace_.job(order.job);
+    if (!job || order.index >= job->spec.tasks) return ExitCause::unknown;
+    auto free = identity_.size;
+    for (const auto& task : tasks_) {
+        if (task.seen.state == TaskState::exited) continue;
+        if (task.seen.job == order.job && task.seen.index == order.index) return ExitCause::busy;
+        free -= task.need;
+    }
+    return free.holds(job->spec.need) ? ExitCause::none : ExitCause::no_room;
+}
+
+// A machine fetches an image once for all tasks that need it.
+TimePoint HollowWorker::image_ready(const core::JobSpec& spec, TimePoint now) {
+    const auto fetched = core::later(now, Seconds(spec.image_gb / identity_.fetch_gb_per_s));
+    return std::max(images_.try_emplace(spec.image, fetched).first->second, now);
+}
+
+void HollowWorker::start(const core::Order& order, TimePoint now) {
+    Task task;
+    task.seen = {order.job,           order.index,     order.attempt,
+                 TaskState::fetching, ExitCause::none, false};
+    if (const auto cause = refusal(order); cause != ExitCause::none) {
+        task.seen.state = TaskState::exited;
+        task.seen.cause = cause;
+        task.due = never;
+    } else {
+        const auto& spec = workplace_.job(order.job)->spec;
+        task.need = spec.need;
+        task.due = image_ready(spec, now);
+    }
+    tasks_.push_back(std::move(task));
+    mark_changed();
+}
+
+void HollowWorker::has_image(Task& task, TimePoint now) {
+    const auto& job = *workplace_.job(task.seen.job);
+    if (job.done[task.seen.index]) return exit(task, ExitCause::done, now);
+    task.here = true;
+    workplace_.enters(task.seen.job, task.seen.index, this, now);
+    if (job.spec.kind != core::Kind::gang) return run(task, now);
+    task.seen.state = TaskState::waiting;
+    task.due = core::later(now, times_.gang_wait);
+    const auto seen = task.seen;  // the last one to wait makes all of them run, this one too
+    workplace_.gang_waits(seen.job, seen.attempt, seen.index, this, now);
+}
+
+void HollowWorker::run(Task& task, TimePoint now) {
+    const auto& job = *workplace_.job(task.seen.job);
+    task.seen.state = TaskState::running;
+    task.due = job.spec.kind == core::Kind::service ? never : core::later(now, job.run);
+    mark_changed();
+}
+
+void HollowWorker::step(Task& task, TimePoint now) {
+    const auto seen = task.seen;
+    switch (seen.state) {
+        case TaskState::fetching:
+            return has_image(task, now);
+        case TaskState::waiting:
+            return exit(task, ExitCause::alone, now);
+        case TaskState::running:
+            if (workplace_.job(seen.job)->spec.kind == core::Kind::gang)
+                return workplace_.gang_ends(seen.job, seen.attempt, now);
+            return exit(task, ExitCause::done, now);
+        case TaskState::saving:
+        case TaskState::exited:
+            return;
+    }
+}
+
+void HollowWorker::exit(Task& task, ExitCause cause, TimePoint now) {
+    const bool was_here = std::exchange(task.here, false);
+    task.seen.state = TaskState::exited;
+    task.seen.cause = cause;
+    task.due = never;
+    mark_changed();
+    const auto seen = task.seen;
+    if (was_here) workplace_.leaves(seen.job, seen.index, this);
+    if (cause == ExitCause::done) return workplace_.finished(seen.job, seen.index);
+    if (was_here && workplace_.job(seen.job)->spec.kind == core::Kind::gang)
+        workplace_.gang_lost(seen.job, seen.attempt, seen.index, now);
+}
+
+void HollowWorker::gang_runs(const std::string& job, std::uint64_t attempt, TimePoint now) {
+    for (auto& task : tasks_)
+        if (task.seen.job == job && task.seen.attempt == attempt &&
+            task.seen.state == TaskState::waiting)
+            run(task, now);
+}
+
+void HollowWorker::gang_done(const std::string& job, std::uint64_t attempt, TimePoint now) {
+    for (auto& task : tasks_)
+        if (task.seen.job == job && task.seen.attempt == attempt &&
+            task.seen.state == TaskState::running)
+            exit(task, ExitCause::done, now);
+}
+
+// The others notice within `gang_peer_s`; here, after half of it.
+void HollowWorker::gang_broken(const std::string& job, std::uint64_t attempt, TimePoint now) {
+    for (auto& task : tasks_)
+        if (task.seen.job == job && task.seen.attempt == attempt &&
+            task.seen.state == TaskState::running) {
+            task.seen.cause = ExitCause::peers;
+            task.due = core::later(now, times_.gang_peer / 2);
+            mark_changed();
+        }
+}
+
+void HollowWorker::drop_all(TimePoint now) {
+    for (std::size_t i = 0; i < tasks_.size(); ++i)
+        if (tasks_[i].seen.state != TaskState::exited) exit(tasks_[i], ExitCause::stopped, now);
+    tasks_.clear();
+}
+
+void HollowWorker::advance(TimePoint now) {
+    if (core::later(lease_from_, times_.lease) < now) restart(now);
+    // Steps may add to nothing but change any of them: gangs end together.
+    for (std::size_t i = 0; i < tasks_.size(); ++i) {
+        if (tasks_[i].due > now) continue;
+        if (tasks_[i].seen.state == TaskState::running && tasks_[i].seen.cause == ExitCause::peers)
+            exit(tasks_[i], ExitCause::peers, now);
+        else
+            step(tasks_[i], now);
+    }
+}
+
+TimePoint HollowWorker::next_due() const {
+    // A little beyond the end of the lease: at its very end it still holds.
+    auto due = core::later(lease_from_, times_.lease + std::chrono::milliseconds(1));
+    for (const auto& task : tasks_) due = std::min(due, task.due);
+    return due;
+}
+
+void HollowWorker::restart(TimePoint now) {
+    drop_all(now);
+    ++session_;
+    lease_from_ = now;
+    mark_changed();
+}
+
+void HollowWorker::die(TimePoint now) {
+    drop_all(now);
+}
+
+void HollowWorker::mark_changed() {
+    changed_ = true;
+    if (on_change_) on_change_();
+}
+
+}  // namespace bendspindle::scale
