--- a/src/app/report_desk.cpp
+++ b/src/app/report_desk.cpp
@@ -4,6 +4,9 @@
 
 #include <algorithm>
 
+#include "wire/users.hpp"
+#include "wire/workers.hpp"
+
 namespace bendspindle::app {
 
 namespace {
--- a/src/app/report_desk.hpp
+++ b/src/app/report_desk.hpp
@@ -15,7 +15,6 @@
 #include "app/reply.hpp"
 #include "app/role.hpp"
 #include "app/visits.hpp"
-#include "wire/codec.hpp"
 
 namespace bendspindle::app {
 
