--- a/scale/run.cpp
+++ b/scale/run.cpp
@@ -10,6 +10,7 @@
 #include "measure.hpp"
 #include "users.hpp"
 #include "workplace.hpp"
+#include "wire/records.hpp"
 
 namespace bendspindle::scale {
 
