World of the scenarios: mute machines, late answers to calls, transactions

Cause: the world wrote records at once and could not tell a machine that opens no connection from one that is cut off, so meetings of late transactions and mute machines had no test.

Change: transactions are slow, refused, or unanswered and carried out late, under the stamps that app/recorder names; machines are mute; the answer to a direct call may come late; users repeat what was not answered; small jobs come in floods; a job that waits beside room for it fails the test once patience is asked for. went_back is checked against the record as well, from which any controller may tell; a job that the acting one does not know, and no final record, is forgotten. The time of a cancellation runs from when its record could first be read, and is kept over every change of leader.

--- a/tests/standin/worker.hpp
+++ b/tests/standin/worker.hpp
@@ -39,8 +39,10 @@
     std::set<std::string> images;
     double last_answered = 0;
     double next_report = 0;
-    bool reachable = true;  // its reports reach the controllers, and answers come back
-    bool deaf = false;      // its reports arrive; no answer and no call reaches it
+    bool reachable = true;    // its reports reach the controllers, and answers come back
+    bool deaf = false;        // its reports arrive; no answer and no call reaches it
+    bool mute = false;        // it opens no connection to a controller; calls to it arrive
+    bool slow_call = false;   // the answer to the next call to it takes three seconds
     bool with_elder = false;  // behind a cut with the former controller, which goes on acting
     bool hung = false;
     bool dead = false;
--- a/tests/standin/world.cpp
+++ b/tests/standin/world.cpp
@@ -19,6 +19,9 @@
     return out;
 }
 
+constexpr double unanswered_for = 2;
+constexpr double call_answer_late = 3;
+
 }  // namespace
 
 World::World() {
@@ -84,28 +87,122 @@
 }
 
 void World::write_records() {
-    if (!controller_ || !state_up_) return;
+    carry_out_writes();
+    if (!controller_ || !state_up_ || now_ < write_again_) return;
+    const auto under_way = [&](const auto& other) {
+        return other.answered && other.epoch == epoch_;
+    };
+    if (std::any_of(transactions_.begin(), transactions_.end(), under_way)) return;
     const auto changes = controller_->changes(48, at());
     if (changes.empty()) return;
-    const auto stamp = ++revision_;
-    for (const auto& change : changes) {
-        using What = core::Change::What;
-        note("write " + std::to_string(static_cast<int>(change.what)) + " " + change.id);
-        if (change.what == What::put_job) {
-            jobs_[change.id] = {change.job, stamp};
-        } else if (change.what == What::finish_job) {
-            jobs_.erase(change.id);
-            if (finals_.contains(change.id)) fail("a final record is written twice");
-            finals_[change.id] = change.job.final;
-            // Its user is told once this is durable, and counts from then.
-            if (change.job.final == core::Final::cancelled) cancelled_at_[change.id] = now_;
-        } else if (change.what == What::put_machine) {
-            records_[change.id] = {change.machine, stamp};
+    const auto finals = controller_->sent(changes);
+    if (writes_ == Writes::refused) {
+        controller_->not_executed(finals);
+        return;
+    }
+    const bool answered = writes_ != Writes::unanswered;
+    // One that has no answer is given up after a while, and the same is sent again.
+    if (!answered) write_again_ = now_ + unanswered_for;
+    const auto late = writes_ == Writes::prompt ? 0 : writes_late_;
+    transactions_.push_back({now_ + late, epoch_, changes, answered});
+    carry_out_writes();
+}
+
+void World::carry_out_writes() {
+    if (!state_up_) return;
+    for (std::size_t i = 0; i < transactions_.size();) {
+        if (transactions_[i].at > now_ + 1e-9) {
+            ++i;
+            continue;
+        }
+        const auto transaction = transactions_[i];
+        transactions_.erase(transactions_.begin() + static_cast<std::ptrdiff_t>(i));
+        const bool holds = conditions_hold(transaction);
+        if (holds) {
+            ++revision_;
+            for (const auto& change : transaction.changes)
+                carry_out(change, revision_);
         } else {
-            records_.erase(change.id);
+            ++refused_writes_;
         }
+        const bool told = transaction.answered && controller_ && transaction.epoch == epoch_;
+        if (told && holds) controller_->written(transaction.changes, revision_, at());
+        if (told && !holds)
+            for (const auto& change : transaction.changes) read_back(change);
+    }
+}
+
+// Each names the stamp of the one that acts, and those of the records that it changes.
+bool World::conditions_hold(const Transaction& transaction) const {
+    return transaction.epoch == epoch_ &&
+           std::all_of(transaction.changes.begin(), transaction.changes.end(),
+                       [&](const auto& change) { return condition_holds(change); });
+}
+
+bool World::condition_holds(const core::Change& change) const {
+    using What = core::Change::What;
+    if (change.what == What::put_machine || change.what == What::drop_machine) {
+        const auto it = records_.find(change.id);
+        return change.stamp == (it == records_.end() ? 0 : it->second.second);
     }
-    controller_->written(changes, stamp, at());
+    const auto it = jobs_.find(change.id);
+    const bool names_final = change.what == What::finish_job || change.stamp == 0;
+    return change.stamp == (it == jobs_.end() ? 0 : it->second.second) &&
+           !(names_final && finals_.contains(change.id));
+}
+
+void World::carry_out(const core::Change& change, std::uint64_t stamp) {
+    using What = core::Change::What;
+    note("write " + std::to_string(static_cast<int>(change.what)) + " " + change.id);
+    if (change.what == What::put_job) {
+        jobs_[change.id] = {change.job, stamp};
+    } else if (change.what == What::finish_job) {
+        jobs_.erase(change.id);
+        if (finals_.contains(change.id)) fail("a final record is written twice");
+        finals_[change.id] = change.job.final;
+        // Its user is told once this is durable, by whoever reads it, and counts from then: over
+        // every change of leader.
+        if (change.job.final == core::Final::cancelled) cancelled_at_[change.id] = now_;
+    } else if (change.what == What::put_machine) {
+        records_[change.id] = {change.machine, stamp};
+    } else {
+        records_.erase(change.id);
+    }
+}
+
+// As app/recorder does where a condition did not hold: an earlier write whose answer was lost has
+// been carried out after all.
+void World::read_back(const core::Change& change) {
+    if (condition_holds(change)) return;
+    using What = core::Change::What;
+    if (change.what == What::put_machine || change.what == What::drop_machine) {
+        const auto it = records_.find(change.id);
+        controller_->restamp(change.what, change.id, it == records_.end() ? 0 : it->second.second);
+        return;
+    }
+    if (finals_.contains(change.id)) {
+        if (change.what == What::finish_job)
+            controller_->written({change}, revision_, at());
+        else
+            controller_->withdraw(change.id);
+        return;
+    }
+    const auto it = jobs_.find(change.id);
+    controller_->restamp(change.what, change.id, it == jobs_.end() ? 0 : it->second.second);
+}
+
+void World::users_repeat() {
+    if (!users_repeat_ || !controller_) return;
+    const auto recorded = [&](const std::string& id) {
+        return jobs_.contains(id) || finals_.contains(id);
+    };
+    std::erase_if(submitting_, recorded);
+    for (const auto& id : submitting_)
+        if (!controller_->knows(id))
+            controller_->accept(specs_.at(id), core::WallTime{} + std::chrono::seconds(1), at());
+    std::erase_if(cancelling_, [&](const auto& id) { return finals_.contains(id); });
+    for (const auto& id : cancelling_)
+        if (controller_->durable(id)) controller_->cancel(id, at());
 }
 
 void World::started(const std::string& job, std::uint32_t index, const Worker& on) {
@@ -166,10 +263,26 @@
     }
     if (!answered) return;
     const auto report = worker.report();
+    if (worker.slow_call) {
+        worker.slow_call = false;
+        late_call_answers_.push_back({now_ + call_answer_late, call, report});
+        return;
+    }
     for (auto* from : {controller_.get(), elder_.get()})
         if (from && from->epoch() == call.token) from->called(call, outcome, &report, at());
 }
 
+void World::answer_late_calls() {
+    const auto due = std::stable_partition(late_call_answers_.begin(), late_call_answers_.end(),
+                                           [&](const auto& late) { return late.at > now_; });
+    const std::vector<LateCallAnswer> arrived(due, late_call_answers_.end());
+    late_call_answers_.erase(due, late_call_answers_.end());
+    for (const auto& late : arrived)
+        for (auto* from : {controller_.get(), elder_.get()})
+            if (from && from->epoch() == late.call.token)
+                from->called(late.call, core::CallOutcome::executed, &late.report, at());
+}
+
 void World::obey(Worker& worker, const std::vector<core::Order>& orders) {
     for (const auto& order : orders) {
         const bool known = specs_.contains(order.job);
@@ -256,8 +369,10 @@
         }
     for (const auto& team : config_.teams) {
         const auto& used = use[team.name];
-        if (team.limit.cpus > 0 && used.cpus > team.limit.cpus + 1e-6) fail("quota: cpus:" + on[team.name]);
-        if (team.limit.gpus > 0 && used.gpus > team.limit.gpus + 1e-6) fail("quota: gpus:" + on[team.name]);
+        if (team.limit.cpus > 0 && used.cpus > team.limit.cpus + 1e-6)
+            fail("quota: cpus:" + on[team.name]);
+        if (team.limit.gpus > 0 && used.gpus > team.limit.gpus + 1e-6)
+            fail("quota: gpus:" + on[team.name]);
     }
     for (const auto& [id, final] : finals_) {
         if (final != core::Final::done) continue;
@@ -265,16 +380,18 @@
             fail("not_done: " + id);
         if (completed_[id].empty()) fail("not_done: " + id);
     }
+    check_waiting();
     if (!controller_) return;
     for (const auto& [id, spec] : specs_) {
         const auto status = controller_->status(id);
-        const auto final = status                 ? status->final
-                           : finals_.contains(id) ? finals_.at(id)
-                                                  : core::Final::none;
+        const auto recorded = finals_.contains(id) ? finals_.at(id) : core::Final::none;
+        const auto final = status ? status->final : recorded;
+        // Who cannot reach the one that acts reads the record, and tells what it says.
+        if (recorded != core::Final::none) told_[id] = recorded;
         if (told_[id] != core::Final::none && final != told_[id]) fail("went_back: " + id);
         if (final != core::Final::none) told_[id] = final;
         // A record that nobody has adopted yet answers for itself.
-        if (!status && !finals_.contains(id) && jobs_.contains(id) &&
+        if (!controller_->knows(id) && !finals_.contains(id) && jobs_.contains(id) &&
             !jobs_.at(id).first.home.empty())
             fail("forgotten: " + id);
     }
@@ -298,7 +415,7 @@
         if (worker.hung || now_ < worker.next_report || now_ < worker.waits_until) continue;
         worker.next_report = now_ + config_.workers.report.count();
         const auto report = worker.report();
-        if (worker.reachable) deliver(worker, report, true);
+        if (worker.reachable && !worker.mute) deliver(worker, report, true);
     }
     for (auto it = late_answers_.begin(); it != late_answers_.end();) {
         if (it->at > now_) {
@@ -314,6 +431,8 @@
         }
         it = late_answers_.erase(it);
     }
+    answer_late_calls();
+    users_repeat();
     write_records();
     // It writes, rents and returns nothing: it has neither the state service nor a valid lease.
     if (elder_) {
@@ -362,8 +481,8 @@
         note_orders(due.machine, due.orders);
         const auto worker = workers_.find(due.machine);
         const bool reaches = worker != workers_.end() && worker->second.reachable &&
-                             !worker->second.deaf && !worker->second.hung &&
-                             !worker->second.dead && worker->second.with_elder == elder;
+                             !worker->second.deaf && !worker->second.hung && !worker->second.dead &&
+                             worker->second.with_elder == elder;
         if (reaches && !worker->second.calls_held) {
             call(due, true);
             continue;
@@ -373,8 +492,81 @@
     }
 }
 
+// How many tasks of the job the machine could take now, if all is well with it.
+bool World::has_room(const Worker& worker, const core::JobSpec& spec, std::uint32_t& tasks) const {
+    const bool well = !worker.hung && !worker.dead && !worker.deaf && !worker.mute &&
+                      !worker.faulty && worker.reachable && !worker.notice && !worker.with_elder;
+    const bool allowed = (!worker.spot || spec.spot) && (!spec.zone || *spec.zone == worker.zone) &&
+                         (!spec.types || std::find(spec.types->begin(), spec.types->end(),
+                                                   worker.type) != spec.types->end());
+    if (!well || !allowed) return false;
+    const auto type = std::find_if(types_.begin(), types_.end(),
+                                   [&](const auto& t) { return t.name == worker.type; });
+    auto free = type->size;
+    for (const auto& task : worker.tasks)
+        if (task.state != TaskState::exited) free -= specs_.at(task.job).need;
+    for (tasks = 0; tasks < spec.tasks && free.holds(spec.need); ++tasks) free -= spec.need;
+    return tasks > 0;
+}
+
+// None of its tasks is anywhere, and there would be room for one; for a gang's all.
+bool World::waits_in_vain(const core::JobSpec& spec) const {
+    if (finals_.contains(spec.id) || !jobs_.contains(spec.id) || mistaken_.contains(spec.id))
+        return false;
+    core::Resources used;
+    for (const auto& [name, worker] : workers_)
+        for (const auto& task : worker.tasks) {
+            if (task.job == spec.id) return false;
+            if (task.state != TaskState::exited && specs_.at(task.job).team == spec.team)
+                used += specs_.at(task.job).need;
+        }
+    const auto wanted = spec.kind == core::Kind::gang ? spec.tasks : 1;
+    const auto more = spec.need * static_cast<double>(wanted);
+    const auto* team = config_.team(spec.team);
+    if (team && team->limit.cpus > 0 && used.cpus + more.cpus > team->limit.cpus) return false;
+    if (team && team->limit.gpus > 0 && used.gpus + more.gpus > team->limit.gpus) return false;
+    std::map<std::string, std::uint32_t> room;  // by zone; or all together
+    for (const auto& [name, worker] : workers_) {
+        std::uint32_t tasks = 0;
+        if (has_room(worker, spec, tasks)) room[spec.one_zone ? worker.zone : ""] += tasks;
+    }
+    return std::any_of(room.begin(), room.end(),
+                       [&](const auto& entry) { return entry.second >= wanted; });
+}
+
+void World::check_waiting() {
+    if (patience_ <= 0) return;
+    for (const auto& [id, spec] : specs_) {
+        if (!waits_in_vain(spec)) {
+            waits_since_.erase(id);
+            continue;
+        }
+        const auto since = waits_since_.try_emplace(id, now_).first->second;
+        if (now_ - since > patience_) fail("waits: " + id + " beside room for it");
+    }
+}
+
+// One-task jobs, several a second; of these each so-manieth is cancelled a little later.
+void World::flood(const Words& words) {
+    const double every = 1 / number(words, "rate", 4);
+    const int count = static_cast<int>(number(words, "for", 60) / every);
+    const int cancelled = static_cast<int>(number(words, "cancel", 4));
+    const int term = static_cast<int>(number(words, "term", 1e6) / every);
+    for (int i = 1; i <= count; ++i) {
+        line("job " + words.at(1) + std::to_string(i) + " team=" + option(words, "team", "") +
+             " cpus=" + option(words, "cpus", "1") + " run=" + std::to_string(1 + i % 5));
+        if (i > 8 && i % cancelled == 0) line("cancel " + words[1] + std::to_string(i - i % 7));
+        if (i % term == 0) {
+            line("crash");
+            line("takeover");
+        }
+        line("run " + std::to_string(every));
+    }
+}
+
 // Every accepted job is known; what was not cancelled and is not mistaken is done.
 void World::expect_served() {
+    if (!controller_) fail("nobody acts");
     for (const auto& [id, spec] : specs_) {
         const auto final = finals_.find(id);
         if (final == finals_.end() && !controller_->status(id)) fail("forgotten: " + id);
@@ -431,6 +623,35 @@
         must((words.at(3) == "done" && final == core::Final::done) ||
              (words.at(3) == "cancelled" && final == core::Final::cancelled) ||
              (words.at(3) == "none" && final == core::Final::none));
+    } else if (what == "starts-of") {  // all of them: nothing was run again
+        const auto n = std::count_if(start_order_.begin(), start_order_.end(), [&](const auto& s) {
+            return s.starts_with(words.at(2) + "/");
+        });
+        must(n == std::stol(words.at(3)));
+    } else if (what == "exited") {  // expect exited JOB/INDEX MACHINE: the worker still tells of it
+        const auto& tasks = workers_.at(words.at(3)).tasks;
+        must(std::any_of(tasks.begin(), tasks.end(), [&](const Task& task) {
+            return task.state == TaskState::exited &&
+                   task.job + "/" + std::to_string(task.index) == words.at(2);
+        }));
+    } else if (what == "knows") {  // a job
+        must(controller_->knows(words.at(2)) == (words.at(3) == "yes"));
+    } else if (what == "confirmed") {
+        must(controller_->machines().at(words.at(2)).confirmed == (words.at(3) == "yes"));
+    } else if (what == "session") {
+        must(workers_.at(words.at(2)).session == std::stoul(words.at(3)));
+    } else if (what == "refused-writes") {
+        must(refused_writes_ == std::stoi(words.at(2)));
+    } else if (what == "held-orders") {  // of direct calls that are still on their way
+        std::size_t n = 0;
+        for (const auto& call : held_calls_) n += call.orders.size();
+        must(n == std::stoul(words.at(2)));
+    } else if (what == "held-reports") {
+        must(held_reports_.size() == std::stoul(words.at(2)));
+    } else if (what == "late-call-answers") {
+        must(late_call_answers_.size() == std::stoul(words.at(2)));
+    } else if (what == "late-answers") {
+        must(late_answers_.size() == std::stoul(words.at(2)));
     } else if (what == "machines") {
         must(workers_.size() + booting_.size() == std::stoul(words.at(2)));
     } else if (what == "known") {
@@ -541,14 +762,16 @@
             record.spec = spec;
             jobs_[spec.id] = {record, ++revision_};
         }
-        if (submit == "yes")
+        if (submit == "yes") submitting_.insert(spec.id);
+        if (submit == "yes" && controller_)
             controller_->accept(spec, core::WallTime{} + std::chrono::seconds(specs_.size()), at());
         write_records();
     } else if (verb == "learn") {
         for (const auto& [id, record] : jobs_)
             if (record.first.home.empty()) controller_->learn(record.first, record.second, at());
     } else if (verb == "cancel") {
-        controller_->cancel(words.at(1), at());
+        if (controller_) controller_->cancel(words.at(1), at());
+        cancelling_.insert(words.at(1));
         write_records();
     } else if (verb == "run") {
         const double until = now_ + std::stod(words.at(1));
@@ -557,6 +780,25 @@
         workers_.at(words.at(1)).reachable = verb == "heal";
     } else if (verb == "deafen" || verb == "undeafen") {
         workers_.at(words.at(1)).deaf = verb == "deafen";
+    } else if (verb == "mute" || verb == "unmute") {
+        workers_.at(words.at(1)).mute = verb == "mute";
+    } else if (verb == "slow-call") {
+        workers_.at(words.at(1)).slow_call = true;
+    } else if (verb == "writes") {
+        writes_ = words.at(1) == "slow"         ? Writes::slow
+                  : words.at(1) == "refused"    ? Writes::refused
+                  : words.at(1) == "unanswered" ? Writes::unanswered
+                                                : Writes::prompt;
+        writes_late_ = words.size() > 2 ? std::stod(words[2]) : 0;
+    } else if (verb == "resubmit") {
+        controller_->accept(specs_.at(words.at(1)), core::WallTime{}, at());
+    } else if (verb == "flood") {
+        flood(words);
+    } else if (verb == "patience") {
+        patience_ = std::stod(words.at(1));
+        waits_since_.clear();
+    } else if (verb == "users") {
+        users_repeat_ = words.at(1) == "repeat";
     } else if (verb == "split") {
         // Another controller takes the role; the former one goes on with these workers.
         elder_ = std::move(controller_);
--- a/tests/standin/world.hpp
+++ b/tests/standin/world.hpp
@@ -42,7 +42,29 @@
     void stand_still(double seconds);
     void direct(core::Controller& from);
     void expect_served();
+    void check_waiting();
+    bool waits_in_vain(const core::JobSpec& spec) const;
+    bool has_room(const Worker& worker, const core::JobSpec& spec, std::uint32_t& tasks) const;
+    void flood(const Words& words);
+    struct Transaction {
+        double at;  // when it is carried out
+        std::uint64_t epoch;
+        std::vector<core::Change> changes;
+        bool answered;
+    };
+    enum class Writes : std::uint8_t { prompt, slow, refused, unanswered };
+
+    // The recorder's part: what is due goes out, one transaction at a time.
     void write_records();
+    // The state service's part: what has arrived is carried out if its conditions hold.
+    void carry_out_writes();
+    bool conditions_hold(const Transaction& transaction) const;
+    bool condition_holds(const core::Change& change) const;
+    void carry_out(const core::Change& change, std::uint64_t stamp);
+    void read_back(const core::Change& change);
+    void answer_late_calls();
+    // Users repeat what has not been answered.
+    void users_repeat();
     void take_over();
     void check_rules();
     void started(const std::string& job, std::uint32_t index, const Worker& on);
@@ -61,6 +83,16 @@
     // Durable records, as the state service would hold them.
     std::uint64_t revision_ = 1;
     bool state_up_ = true;
+    Writes writes_ = Writes::prompt;
+    double writes_late_ = 0;
+    double write_again_ = 0;  // not before
+    std::vector<Transaction> transactions_;
+    int refused_writes_ = 0;  // transactions whose conditions did not hold
+    bool users_repeat_ = false;
+    double patience_ = 0;  // how long a job may wait beside room for it; 0: nobody looks
+    std::map<std::string, double> waits_since_;
+    std::set<std::string> submitting_;
+    std::set<std::string> cancelling_;
     std::map<std::string, std::pair<core::JobRecord, std::uint64_t>> jobs_;
     std::map<std::string, core::Final> finals_;
     std::map<std::string, std::pair<core::ListedMachine, std::uint64_t>> records_;
@@ -78,6 +110,12 @@
         core::ReportAnswer answer;
     };
     std::vector<Late> late_answers_;
+    struct LateCallAnswer {
+        double at;
+        core::DirectCall call;
+        core::Report report;
+    };
+    std::vector<LateCallAnswer> late_call_answers_;
     std::vector<core::DirectCall> held_calls_;
     std::vector<std::string> start_order_;
     std::map<std::string, std::map<std::uint32_t, bool>> completed_;
