Mute machines draw no work; a former leader's cancelled work is stopped by direct call

Cause: answers to direct calls kept a machine in use that reaches no controller, so that its lease ended and what was started there was lost; and what Dispatch::called would have ordered waited for a report that never came.

Change: a machine is in use while it reports of its own accord.

--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -344,6 +344,7 @@
     if (office_.controller->in_doubt(id) && !replication_.known_to_enough())
         return busy("the other controllers are being told who acts");
     office_.controller->cancel(id, Clock::now());
+    office_.want_place();  // its stops go out at once
     wait_recorded(lock, [&] {
         if (!office_.controller) return true;
         const auto status = office_.controller->status(id);
--- a/src/core/direct_calls.cpp
+++ b/src/core/direct_calls.cpp
@@ -24,6 +24,7 @@
                 continue;
         } else {
             orders_.stop_ready(machine, now, call.orders);
+            orders_.stop_strangers(machine, now, call.orders);
             if (may_start) orders_.start_ready(machine, now, true, call.orders);
             if (call.orders.empty()) continue;
         }
--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -26,7 +26,7 @@
     if (!answer || answer->token > epoch_ || machine->has_seen(*answer)) return;
     // The worker was asked under a wrong session; the right one is tried at once.
     if (answer->session != call.session) machine->last_call = TimePoint{};
-    fleet_.observe(*machine, *answer, now);
+    fleet_.observe(*machine, *answer, Fleet::By::call, now);
     if (answer->token < epoch_) return;
     fleet_.confirm(*machine, now);
     Fleet::hears(*machine);
@@ -49,7 +49,7 @@
         return answer;
     }
     auto& machine = fleet_.meet(report, now);
-    fleet_.observe(machine, report, now);
+    fleet_.observe(machine, report, Fleet::By::report, now);
     // Guard against ran_twice: until the machine has seen this token, a start of the former
     // epoch may still take effect after the list was made.
     if (report.token < epoch_) {
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -144,7 +144,7 @@
     return later(machine.last_report, machine.reported ? std::max(late, silent) : late);
 }
 
-void Fleet::observe(Machine& machine, const Report& report, TimePoint now) {
+void Fleet::observe(Machine& machine, const Report& report, By by, TimePoint now) {
     if (report.session != machine.session) {
         machine.unanswered.clear();
         machine.asked.clear();
@@ -158,6 +158,7 @@
     machine.session = report.session;
     machine.seq = report.seq;
     machine.last_report = machine.heard_at = now;
+    if (by == By::report || machine.reported_at == TimePoint{}) machine.reported_at = now;
     machine.reported = true;
     if (report.notice && !machine.taken_at) machine.taken_at = later(now, *report.notice);
     if (!report.notice) machine.taken_at.reset();
@@ -232,6 +233,7 @@
     for (auto& [name, machine] : machines_) {
         const auto moved = [&](TimePoint t) { return std::min(now, later(t, paused)); };
         machine.last_report = moved(machine.last_report);
+        if (machine.reported_at != TimePoint{}) machine.reported_at = moved(machine.reported_at);
         machine.first_seen = moved(machine.first_seen);
         machine.idle_since = moved(machine.idle_since);
         if (machine.unwanted_since) machine.unwanted_since = moved(*machine.unwanted_since);
@@ -267,6 +269,10 @@
 }
 
 bool Fleet::overdue(const Machine& machine, TimePoint now) const {
+    // Nobody knows when these were cancelled; it was before they were seen.
+    if (machine.strangers_since &&
+        between(*machine.strangers_since, now) > config_.workers.cancel * cancel_share)
+        return true;
     return std::any_of(machine.held.begin(), machine.held.end(), [&](const auto& entry) {
         const auto& job = *entry.second.job;
         return job.final == Final::cancelled && job.cancelled_at != TimePoint{} &&
@@ -289,7 +295,9 @@
 bool Fleet::usable(const Machine& machine, TimePoint now) const {
     return machine.confirmed && machine.durable && machine.type_known && !machine.draining() &&
            !machine.deaf_since &&
-           between(machine.last_report, now) < config_.workers.report * 2.5 + Seconds{1};
+           // Guard against a machine that draws work and loses it: direct calls reach it, and it
+           // reaches no controller, so its lease ends.
+           between(machine.reported_at, now) < config_.workers.report * 2.5 + Seconds{1};
 }
 
 std::size_t Fleet::unconfirmed() const {
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -63,6 +63,7 @@
     TimePoint first_seen{};
     TimePoint last_report{};  // or later, where this controller itself stood still
     TimePoint heard_at{};     // its last message, for certain
+    TimePoint reported_at{};  // its last report of its own accord, or its first sign of life
     TimePoint idle_since{};
     TimePoint loaded_at{};
     std::optional<TimePoint> unwanted_since;  // planning has had no use for it
@@ -70,8 +71,10 @@
     std::optional<TimePoint> taken_at;        // spot notice: when the cloud takes it
     std::vector<ReportedTask> tasks;          // of the last report
     std::map<HeldKey, HeldTask> held;
-    Resources strays;                 // of tasks in the last report that are no placement of ours
+    Resources strays;        // of tasks in the last report that are no placement of ours
     bool strangers = false;  // tasks of jobs that are over or not understood are there
+    std::optional<TimePoint> strangers_since;  // tasks of jobs that are over
+    TimePoint strangers_told{};                // when stops for them last went out by direct call
     std::vector<CachedImage> images;  // most recently used last
     // Jobs of which a task failed here since a task was last done, with what that says against the
     // machine; 1 of each, less of jobs that fail everywhere.
@@ -116,8 +119,10 @@
     // The whole list, asked for at `asked`.
     void listed(const std::vector<ListedMachine>& machines, TimePoint asked, TimePoint now);
 
+    // How a machine's message came: of its own accord, or because it was called.
+    enum class By : std::uint8_t { report, call };
     // What a message of the machine's own says of it.
-    void observe(Machine& machine, const Report& report, TimePoint now);
+    void observe(Machine& machine, const Report& report, By by, TimePoint now);
     // Its message has shown this epoch's token.
     void confirm(Machine& machine, TimePoint now);
     // What a newer report shows of the orders that the answer before it carried.
--- a/src/core/orders.cpp
+++ b/src/core/orders.cpp
@@ -19,10 +19,22 @@
     }
 }
 
+// Guard against cancelled work of a former epoch on a machine that hears and is not heard: it shows
+// in the answers to direct calls only, so its stops travel that way, too.
+void Orders::stop_strangers(Machine& machine, TimePoint now, std::vector<Order>& orders) const {
+    if (!machine.confirmed || !machine.strangers_since) return;
+    const bool lost = between(machine.strangers_told, now) > config_.workers.report * 2;
+    if (machine.strangers_told != TimePoint{} && !lost) return;
+    machine.strangers_told = now;
+    for (const auto& task : machine.tasks)
+        if (task.state != TaskState::exited && pipelines_.stranger(task.job))
+            orders.push_back(order_for(Order::Verb::stop, task));
+}
+
 // All open jobs are in memory before the first report is handled, so an unknown one is over.
 bool Orders::must_end(const std::string& id) const {
     const auto* job = pipelines_.find(id);
-    return job ? job->final == Final::cancelled : !pipelines_.aside(id);
+    return job ? job->final == Final::cancelled : pipelines_.stranger(id);
 }
 
 std::set<std::string> Orders::jobs_to_end() const {
--- a/src/core/orders.hpp
+++ b/src/core/orders.hpp
@@ -36,6 +36,8 @@
     void start_ready(Machine& machine, TimePoint now, bool direct, std::vector<Order>& orders);
     // Stops of all that the report shows of jobs that are over.
     void stop_finished_jobs(const Report& report, std::vector<Order>& orders) const;
+    // Stops, by direct call, of what was over already when this controller took over.
+    void stop_strangers(Machine& machine, TimePoint now, std::vector<Order>& orders) const;
     // Jobs that are over, as far as they are known, with tasks on machines by the books or by the
     // last report: whoever renews the leases of these machines has to stop them.
     std::set<std::string> jobs_to_end() const;
--- a/src/core/pipelines.hpp
+++ b/src/core/pipelines.hpp
@@ -73,6 +73,8 @@
     // Jobs whose record cannot be read: their tasks are left alone.
     void set_aside(const std::string& id) { aside_.insert(id); }
     bool aside(const std::string& id) const { return aside_.contains(id); }
+    // Of a job that was over when this controller took over.
+    bool stranger(const std::string& id) const { return !knows(id) && !aside(id); }
     // Jobs that are over and nowhere any more leave memory.
     void forget_if_over(Job& job);
     void forget_all_over();
--- a/src/core/reconciliation.cpp
+++ b/src/core/reconciliation.cpp
@@ -35,7 +35,7 @@
     std::vector<HeldKey> held;
     for (const auto& [key, task] : machine.held) held.push_back(key);
     settle_absent(machine, held, report, source, seen, now, orders);
-    count_strays(machine);
+    count_strays(machine, now);
     std::set<std::uint64_t> serials;
     for (const auto& key : held) serials.insert(key.first);
     for (const auto serial : serials) {
@@ -163,17 +163,25 @@
     }
 }
 
-void Reconciliation::count_strays(Machine& machine) const {
+void Reconciliation::count_strays(Machine& machine, TimePoint now) const {
     machine.strays = Resources{};
     machine.strangers = false;
+    bool over = false;
     for (const auto& task : machine.tasks) {
         if (task.state == TaskState::exited) continue;
+        over = over || pipelines_.stranger(task.job);
         const auto* job = pipelines_.find(task.job);
         if (!job)
             machine.strangers = true;
         else if (!machine.held.contains({job->serial, task.index}))
             machine.strays += job->spec.need;
     }
+    if (!over) {
+        machine.strangers_since.reset();
+        machine.strangers_told = TimePoint{};
+    } else if (!machine.strangers_since) {
+        machine.strangers_since = now;
+    }
     if (!machine.strangers || !machine.type_known) return;
     // What a task of an unknown job takes is not known: all that is left, until it is gone.
     machine.strays = catalog_[machine.type].size;
--- a/src/core/reconciliation.hpp
+++ b/src/core/reconciliation.hpp
@@ -51,7 +51,7 @@
     void adopt(Machine& machine, Job& job, const ReportedTask& task, TimePoint now);
     void settle_absent(Machine& machine, const std::vector<HeldKey>& held, const Report& report,
                        Source source, const Seen& seen, TimePoint now, std::vector<Order>& orders);
-    void count_strays(Machine& machine) const;
+    void count_strays(Machine& machine, TimePoint now) const;
     void task_exited(Machine& machine, Job& job, const ReportedTask& task, TimePoint now);
 
     const Catalog& catalog_;
