Guard against ran_cancelled: no answer renews a lease without the stops

Cause: a promise made to a user was broken through many leaders. Each answer 200 renews the lease of the machine's worker, and three kinds of answer held no stop for what had been cancelled: to a report that had not shown the new leader's token (its first answer to each machine), to one that the answer to a direct call had overtaken, and for two reports' time after a stop was sent. Leader after leader renewed a machine so and was gone before its second answer. Before its records were loaded a leader renewed without stops as well. And a leader's word to followers was complete without naming what former leaders had cancelled and a machine still reported.

Change: `Dispatch::stop_cancelled` adds to each answer the stops of tasks whose job is cancelled or unknown; open records are in memory by then, so an unknown job is over. Before its records are loaded a leader answers as a follower does, by what it remembers and within the bound, else 503. The word names what is over and still on machines. Nothing stored and no frame has changed.

--- a/src/app/report_desk.cpp
+++ b/src/app/report_desk.cpp
@@ -82,12 +82,9 @@
 Reply ReportDesk::at_leader(const core::Report& report, std::uint64_t epoch) {
     const std::lock_guard lock(office_.mutex);
     if (!replication_.may_renew()) return busy("another controller may act");
-    // While records are loaded the lease of the worker lives on, and its token rises. Guard against
-    // ran_cancelled: not through an outage that keeps the records from being loaded.
-    if (!office_.controller) {
-        if (!role_.lease_valid()) return busy("taking over");
-        return {200, 0, wire::orders_body(epoch, {})};
-    }
+    // While records are loaded it knows no more than a follower does, and renews no longer than one
+    // may. Guard against ran_cancelled: one leader after the other renewed without a stop.
+    if (!office_.controller) return renew_unheard(report, epoch);
     const auto before = office_.controller->counts();
     const auto answer = office_.controller->report(report, clock_());
     if (!answer.entitled) return busy("another controller acts");
@@ -126,8 +123,8 @@
     const auto stops = replication_.renew_unheard(report);
     if (!stops) return busy("nobody is known to act");
     for (const auto& order : *stops)
-        spdlog::info("{}: stop {}/{}, cancelled, with nobody at hand who acts", report.machine,
-                     order.job, order.index);
+        spdlog::info("{}: stop {}/{}, cancelled, with no leader at hand that has its records",
+                     report.machine, order.job, order.index);
     return {200, 0, wire::orders_body(epoch, *stops)};
 }
 
--- a/src/app/report_desk.hpp
+++ b/src/app/report_desk.hpp
@@ -1,6 +1,7 @@
 // Reports of workers: handled by the leader with its records in memory, sent to the leader or
-// handed on to it by a follower, and answered by a follower alone, for a bounded time, where the
-// leader is out of reach. Calls to peers and the time are passed in.
+// handed on to it by a follower, and answered for a bounded time by one that only remembers what is
+// cancelled: a follower with the leader out of reach, or a leader before its records are loaded.
+// Calls to peers and the time are passed in.
 #pragma once
 
 #include <cstdint>
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -1,5 +1,7 @@
 #include "core/controller.hpp"
 
+#include <set>
+
 namespace bendspindle::core {
 
 Controller::Controller(Config config, std::uint64_t epoch)
@@ -66,10 +68,18 @@
 }
 
 std::vector<std::string> Controller::cancelled_on_machines() const {
-    std::vector<std::string> out;
+    std::set<std::string> out;
     for (const auto& [serial, job] : pipelines_.all())
-        if (job->final == Final::cancelled && !job->placed.empty()) out.push_back(job->spec.id);
-    return out;
+        if (job->final == Final::cancelled && !job->placed.empty()) out.insert(job->spec.id);
+    // What is over and not in memory: cancelled under a former leader, perhaps. The stop in the
+    // answer that confirmed the machine may be lost.
+    for (const auto& [name, machine] : fleet_.all()) {
+        if (!machine.strangers) continue;
+        for (const auto& task : machine.tasks)
+            if (task.state != TaskState::exited && !knows(task.job) && !aside(task.job))
+                out.insert(task.job);
+    }
+    return {out.begin(), out.end()};
 }
 
 ReportAnswer Controller::report(const Report& report, TimePoint now) {
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -56,7 +56,7 @@
     // Whether tasks of it may be on machines that have not shown this epoch's token.
     bool in_doubt(const std::string& id) const;
     // Jobs whose user may have been told that they are cancelled, with tasks on machines by our
-    // books.
+    // books or by the machines' word; among them those of former epochs that are not in memory.
     std::vector<std::string> cancelled_on_machines() const;
     // Whether its acceptance here met a record that was there before.
     bool found(const std::string& id) const;
--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -109,14 +109,20 @@
     // A machine whose release was answered is gone; this report was held up on its way.
     if (fleet_.gone(report.machine)) return answer;
     // Guard against held-up reports and copies: an older list must never replace a newer one, nor
-    // an address or a type, and orders in this answer would reach nobody.
-    if (const auto* known = fleet_.find(report.machine); known && known->has_seen(report))
+    // an address or a type. Its answer orders nothing but the stops of what is cancelled: the report
+    // may be one that the answer to a direct call has overtaken.
+    if (const auto* known = fleet_.find(report.machine); known && known->has_seen(report)) {
+        stop_cancelled(report, answer.orders);
         return answer;
+    }
     auto& machine = fleet_.meet(report, now);
     fleet_.observe(machine, report, now);
     // Guard against ran_twice: until the machine has seen this token, a start of the former
     // epoch may still take effect after the list was made.
-    if (report.token < epoch_) return answer;
+    if (report.token < epoch_) {
+        stop_cancelled(report, answer.orders);
+        return answer;
+    }
     fleet_.confirm(machine, now);
     fleet_.heed(machine, report, now);
     reconcile(machine, report, Source::report, now, answer.orders);
@@ -126,11 +132,31 @@
     }
     stop_ready(machine, now, answer.orders);
     start_ready(machine, now, false, answer.orders);
+    stop_cancelled(report, answer.orders);
     if (!machine.held.empty()) machine.idle_since = now;
     machine.asked = answer.orders;
     return answer;
 }
 
+// Guard against ran_cancelled: an answer renews the lease of the machine, whatever else it says. So
+// each answer stops what must not go on, also one to a machine that has not shown this token yet:
+// leader after leader renewed it with its first answer, and none came to the second. A stop that
+// was ordered before may be lost, and this leader may be gone before it is repeated.
+void Dispatch::stop_cancelled(const Report& report, std::vector<Order>& orders) const {
+    for (const auto& task : report.tasks) {
+        if (task.state == TaskState::exited) continue;
+        const auto* job = pipelines_.find(task.job);
+        // All open jobs are in memory before the first report is handled: an unknown one is over.
+        if (job ? job->final != Final::cancelled : pipelines_.aside(task.job)) continue;
+        const bool ordered = std::any_of(orders.begin(), orders.end(), [&](const Order& order) {
+            return order.verb == Order::Verb::stop && order.index == task.index &&
+                   order.attempt == task.attempt && order.job == task.job &&
+                   order.grace <= Seconds{0};
+        });
+        if (!ordered) orders.push_back(order_for(Order::Verb::stop, task));
+    }
+}
+
 // Most reports say what the one before said. They change nothing unless an order is on its way or
 // an exited task waits for its done-set.
 bool Dispatch::nothing_new(const Machine& machine, const Report& report) const {
--- a/src/core/dispatch.hpp
+++ b/src/core/dispatch.hpp
@@ -87,6 +87,8 @@
     using Seen = std::set<HeldKey>;
 
     bool nothing_new(const Machine& machine, const Report& report) const;
+    // Adds the stops of what is there of jobs that are cancelled, or over and forgotten.
+    void stop_cancelled(const Report& report, std::vector<Order>& orders) const;
     void reconcile(Machine& machine, const Report& report, Source source, TimePoint now,
                    std::vector<Order>& orders);
     void take_over_task(Machine& machine, const ReportedTask& task, TimePoint now, Seen& seen,
