tests: any sequence of terms, in simulated time

Change: tests/terms_test.cpp plays the controller's own Membership, CancellationReplication, ReportDesk, Peers and core, three or five of them, with a simulated state service, links, workers, cloud and users (standin/terms_world, simulated_store, timeline), by 200 drawn schedules of four kinds; one that fails is cut down and printed.

--- /dev/null
+++ b/tests/standin/simulated_store.hpp
@@ -0,0 +1,102 @@
+// The state service in simulated time: keys with stamps, leases, transactions, and its troubles. An
+// outage for all, after which leases have their full time again; refusing one controller; slow
+// answers; transactions carried out at once with the answer lost, or seconds later.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "app/state_store.hpp"
+#include "standin/timeline.hpp"
+
+namespace bendspindle::standin {
+
+class SimulatedService {
+  public:
+    SimulatedService(Timeline& timeline, unsigned seed) : timeline_(timeline), random_(seed) {}
+
+    app::Read get(const std::string& key);
+    app::Listing list(const std::string& prefix);
+    app::Txn transact(const std::vector<wire::Condition>& conditions,
+                      const std::vector<wire::Operation>& operations);
+    std::optional<std::uint64_t> grant(std::chrono::milliseconds life);
+    app::Outcome touch(std::uint64_t lease);
+    app::Outcome revoke(std::uint64_t lease);
+
+    // Troubles.
+    void outage(bool down);
+    bool down() const { return down_; }
+    std::set<std::string> refused;  // controllers
+    double slow_share = 0;          // of the requests, take `slow_times` as long
+    double slow_times = 100;
+    double late_share = 0;      // of the transactions get no answer
+    double late_at_once = 0.5;  // of these are carried out at once
+    double below_one() { return random_() / 4294967296.0; }
+
+  private:
+    struct Item {
+        wire::Value value;
+        std::uint64_t stamp = 0;
+        std::uint64_t lease = 0;
+    };
+    struct Lease {
+        std::chrono::milliseconds life{0};
+        Timeline::Time ends{};
+    };
+    void expire();
+    void end(std::uint64_t lease);
+
+    Timeline& timeline_;
+    std::mt19937 random_;
+    bool down_ = false;
+    std::uint64_t revision_ = 1;
+    std::uint64_t next_lease_ = 0;
+    std::map<std::string, Item> items_;
+    std::map<std::uint64_t, Lease> leases_;
+};
+
+// One controller's way to it.
+class SimulatedStore : public app::StateStore {
+  public:
+    enum class Way : std::uint8_t { open, refused, held };
+    // `way`: of this controller, now.
+    SimulatedStore(Timeline& timeline, SimulatedService& service, std::string controller,
+                   std::function<Way()> way)
+        : timeline_(timeline),
+          service_(service),
+          controller_(std::move(controller)),
+          way_(std::move(way)) {}
+
+    app::Read get(const std::string& key) override;
+    app::Listing list(const std::string& prefix) override;
+    app::Listing watch(const std::string&, std::uint64_t, std::chrono::milliseconds) override {
+        return {};
+    }
+    app::Txn transact(const std::vector<wire::Condition>& conditions,
+                      const std::vector<wire::Operation>& operations) override;
+    std::optional<std::uint64_t> grant(std::chrono::milliseconds life) override;
+    app::Outcome touch(std::uint64_t lease) override;
+    app::Outcome revoke(std::uint64_t lease) override;
+    Clock::time_point last_ok() const override { return last_ok_; }
+
+  private:
+    // What `execute` returned when it reached the service; none: no answer. `refused`: instead.
+    template <typename Answer>
+    std::optional<Answer> ask(std::function<Answer()> execute, Answer refused, bool writes);
+    bool answered(app::Outcome outcome);
+
+    Timeline& timeline_;
+    SimulatedService& service_;
+    const std::string controller_;
+    const std::function<Way()> way_;
+    Clock::time_point last_ok_{};
+};
+
+}  // namespace bendspindle::standin
--- /dev/null
+++ b/tests/standin/terms_world.cpp
@@ -0,0 +1,918 @@
+#include "standin/terms_world.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <sstream>
+#include <stdexcept>
+
+#include "app/recorder.hpp"
+
+namespace bendspindle::standin {
+
+namespace {
+
+using app::Outcome;
+using core::Seconds;
+using core::TaskState;
+
+constexpr double report_patience = 4;
+constexpr double user_patience = 5;
+constexpr Seconds tick_every{0.25};
+constexpr Seconds call_limit{1.5};
+constexpr Seconds record_limit{2.5};
+
+std::vector<std::string> split(const std::string& text) {
+    std::vector<std::string> out;
+    std::istringstream in(text);
+    for (std::string word; in >> word;) out.push_back(word);
+    return out;
+}
+
+core::Order::Verb verb_of(const std::string& name) {
+    if (name == "start") return core::Order::Verb::start;
+    return name == "stop" ? core::Order::Verb::stop : core::Order::Verb::forget;
+}
+
+struct WorkerAnswer {
+    std::uint64_t token = 0;
+    std::vector<core::Order> orders;
+};
+
+// As a worker reads it.
+WorkerAnswer read_orders(const std::string& body) {
+    const auto value = wire::parse_cbor(body).value();
+    WorkerAnswer out{value.at("baton"), {}};
+    for (const auto& order : value.at("orders")) {
+        const std::string task = order.at("piece");
+        const auto slash = task.find('/');
+        out.orders.push_back({verb_of(order.at("verb")), task.substr(0, slash),
+                              static_cast<std::uint32_t>(std::stoul(task.substr(slash + 1))),
+                              order.at("try"), Seconds(order.value("wind_down_s", 0.0))});
+    }
+    return out;
+}
+
+}  // namespace
+
+// One life of a controller. What the service's threads do are flows here; what they decide by is
+// the controller's own.
+class TermsNode : public std::enable_shared_from_this<TermsNode> {
+  public:
+    TermsNode(TermsWorld& world, const std::string& name)
+        : name(name),
+          world_(world),
+          timeline_(world.timeline_),
+          clock_([&timeline = world.timeline_] { return timeline.now(); }),
+          store(world.timeline_, world.service_, name,
+                [&world, name] { return world.way_to_state(name); }),
+          membership(store, name, world.setting_.state_lease,
+                     {[this](std::uint64_t epoch, std::uint64_t stamp) { take_over(epoch, stamp); },
+                      [this] { stand_down(); }},
+                     clock_),
+          peers(peer_names(), link(), clock_),
+          replication(name, world.setting_.workers, membership, peers, clock_),
+          desk(world.setting_.workers, office, membership, peers, replication, clock_),
+          finals(4096) {
+        office.known_types = world.types_;
+    }
+
+    void begin() {
+        const auto self = shared_from_this();
+        timeline_.spawn(life, [self] { self->keep_lease(); });
+        timeline_.spawn(life, [self] { self->announce(); });
+        timeline_.spawn(life, [self] { self->record(); });
+        timeline_.spawn(life, [self] { self->place(); });
+        timeline_.spawn(life, [self] { self->return_machines(); });
+    }
+
+    wire::peer::Answer answer(const wire::peer::Request& request) {
+        peers.was_called();
+        app::Reply reply;
+        switch (request.op) {
+            case wire::peer::Op::status:
+                break;
+            case wire::peer::Op::cancel:
+                reply.status = cancel(request.id, app::From::sibling);
+                break;
+            case wire::peer::Op::report:
+                reply = desk.report(request.body, app::From::sibling);
+                break;
+            case wire::peer::Op::view:
+                membership.heard(request.epoch, request.id);
+                reply.status = 200;
+                break;
+            case wire::peer::Op::word:
+                reply = word(request.id);
+                break;
+            case wire::peer::Op::cancelled:
+                reply = replication.hear_cancelled(request.id, request.epoch);
+                break;
+        }
+        return {static_cast<std::uint16_t>(reply.status), 0, membership.standing().epoch,
+                std::move(reply.body)};
+    }
+
+    // As `Service::cancel`; the status, 200 only if the job is cancelled.
+    int cancel(const std::string& job, app::From from) {
+        if (const auto final = finals.get(job)) return final == core::Final::cancelled ? 200 : 404;
+        if (!membership.standing().acting) {
+            if (from == app::From::sibling) return 503;
+            const auto reply =
+                app::hand_to_leader(wire::peer::Op::cancel, job, {}, membership, peers);
+            return reply ? reply->status : 503;
+        }
+        if (!membership.lease_valid() || !office.controller) return 503;
+        if (!office.controller->knows(job)) return from_record(job);
+        const auto epoch = office.controller->epoch();
+        if (!replication.tell_cancelled(job, epoch)) return 503;
+        if (!office.controller || office.controller->epoch() != epoch) return 503;
+        if (office.controller->in_doubt(job) && !replication.known_to_enough()) return 503;
+        office.controller->cancel(job, timeline_.now());
+        office.want_write();
+        const auto until = core::later(timeline_.now(), record_limit);
+        while (!finals.get(job) && timeline_.now() < until) timeline_.wait(Seconds{0.02});
+        return finals.get(job) == core::Final::cancelled ? 200 : 503;
+    }
+
+    bool leads() const { return !life->over && membership.standing().acting; }
+    bool leads_for_certain() const { return leads() && membership.lease_valid(); }
+
+    const std::string name;
+    const std::shared_ptr<Timeline::Life> life = std::make_shared<Timeline::Life>();
+    std::shared_ptr<Timeline::Signal> look = std::make_shared<Timeline::Signal>();
+
+  private:
+    std::vector<std::string> peer_names() const {
+        auto out = world_.names_;
+        std::erase(out, name);
+        return out;
+    }
+    app::Peers::Link link() {
+        return [this](const std::string& to, const wire::peer::Request& request) {
+            return world_.call_peer(name, to, request);
+        };
+    }
+
+    int from_record(const std::string& job) {
+        const auto over = store.get(app::keys::over(job));
+        if (over.outcome != Outcome::ok) return 503;
+        const auto final = wire::parse_final(over.entry.value).value();
+        finals.put(job, final);
+        return final == core::Final::cancelled ? 200 : 404;
+    }
+
+    app::Reply word(const std::string& peer) {
+        if (!membership.standing().acting) return replication.word_of_follower();
+        if (!office.controller) return {503, 0, {}};
+        return replication.word_of_leader(peer, app::cancelled_jobs(*office.controller));
+    }
+
+    // `Membership::run` and `watch`.
+    void keep_lease() {
+        timeline_.wait(Seconds{0.05 * world_.below_one()});
+        for (;;) {
+            look = std::make_shared<Timeline::Signal>();
+            membership.round(true);
+            timeline_.wait_for(look, Seconds{0.45 + 0.1 * world_.below_one()});
+        }
+    }
+
+    // `Service::announce`.
+    void announce() {
+        for (;;) {
+            replication.round();
+            if (membership.standing().acting && desk.unreached()) membership.give_way();
+            timeline_.wait(Seconds{1});
+        }
+    }
+
+    void take_over(std::uint64_t epoch, std::uint64_t stamp) {
+        desk.took_over();
+        replication.took_over();
+        world_.became_leader(name, epoch);
+        timeline_.spawn(
+            life, [self = shared_from_this(), epoch, stamp,
+                   log = app::TakeoverLog(timeline_.now())] { self->load(epoch, stamp, log); });
+    }
+
+    void load(std::uint64_t epoch, std::uint64_t stamp, const app::TakeoverLog& log) {
+        std::unique_ptr<core::Controller> controller;
+        for (;;) {
+            if (!acts_under(epoch)) return;
+            controller = std::make_unique<core::Controller>(world_.config_, epoch);
+            if (load_into(*controller)) break;
+            timeline_.wait(Seconds{0.3});
+        }
+        if (!acts_under(epoch)) return;
+        controller->hold_finals_until(membership.finals_from());
+        office.takeover_log = log;
+        office.install(std::move(controller), stamp);
+        world_.say(name + " has loaded epoch " + std::to_string(epoch));
+    }
+
+    bool acts_under(std::uint64_t epoch) const {
+        const auto standing = membership.standing();
+        return standing.acting && standing.epoch == epoch;
+    }
+
+    bool load_into(core::Controller& controller) {
+        const auto listed = store.list("machine/");
+        if (listed.outcome != Outcome::ok) return false;
+        for (const auto& entry : listed.entries) {
+            const auto machine = wire::parse_machine_record(entry.key.substr(8), entry.value);
+            controller.load_machine(machine.value(), entry.stamp, timeline_.now());
+        }
+        const auto jobs = store.list(app::keys::jobs);
+        if (jobs.outcome != Outcome::ok) return false;
+        for (const auto& entry : jobs.entries)
+            controller.load_job(wire::parse_job_record(entry.value).value(), entry.stamp,
+                                timeline_.now());
+        return true;
+    }
+
+    void stand_down() {
+        if (office.controller) replication.stood_down(app::cancelled_jobs(*office.controller));
+        office.controller.reset();
+        world_.say(name + " stands down");
+    }
+
+    // `Recorder`, one batch after the other.
+    void record() {
+        for (;;) {
+            timeline_.wait(Seconds{office.write_pending ? 0.03 : 0.1});
+            office.write_pending = false;
+            if (!office.controller) continue;
+            const auto epoch = office.controller->epoch();
+            const auto changes = office.controller->changes(12, timeline_.now());
+            if (changes.empty()) continue;
+            const auto finals_sent = office.controller->sent(changes);
+            std::vector<wire::Condition> conditions{{app::keys::steward, office.steward_stamp}};
+            std::vector<wire::Operation> operations;
+            for (const auto& change : changes) add(change, conditions, operations);
+            const auto txn = store.transact(conditions, operations);
+            if (txn.outcome == Outcome::ok) {
+                settle(changes, epoch, txn.revision);
+            } else if (txn.outcome == Outcome::conflict) {
+                read_back(changes, epoch, txn.failed);
+            } else {
+                if (txn.outcome != Outcome::unknown && same(epoch))
+                    office.controller->not_executed(finals_sent);
+                timeline_.wait(Seconds{0.15 + 0.3 * world_.below_one()});
+            }
+        }
+    }
+
+    bool same(std::uint64_t epoch) const {
+        return office.controller && office.controller->epoch() == epoch;
+    }
+
+    static void add(const core::Change& change, std::vector<wire::Condition>& conditions,
+                    std::vector<wire::Operation>& operations) {
+        using What = core::Change::What;
+        const bool job = change.what == What::put_job || change.what == What::finish_job;
+        const auto key = job ? app::keys::job(change.id) : app::keys::machine(change.id);
+        conditions.push_back({key, change.stamp});
+        switch (change.what) {
+            case What::put_job:
+                operations.push_back({key, wire::job_record(change.job), {}});
+                break;
+            case What::finish_job:
+                conditions.push_back({app::keys::over(change.id), 0});
+                if (change.stamp != 0) operations.push_back({key, std::nullopt, {}});
+                operations.push_back(
+                    {app::keys::over(change.id), wire::final_record(change.job), {}});
+                break;
+            case What::put_machine:
+                operations.push_back({key, wire::machine_record(change.machine), {}});
+                break;
+            case What::drop_machine:
+                operations.push_back({key, std::nullopt, {}});
+                break;
+        }
+    }
+
+    void settle(const std::vector<core::Change>& changes, std::uint64_t epoch,
+                std::uint64_t revision) {
+        for (const auto& change : changes)
+            if (change.what == core::Change::What::finish_job)
+                finals.put(change.id, change.job.final);
+        if (same(epoch)) office.controller->written(changes, revision, timeline_.now());
+        office.want_place();
+    }
+
+    void read_back(const std::vector<core::Change>& changes, std::uint64_t epoch,
+                   const std::vector<std::string>& failed_keys) {
+        const std::set<std::string> failed(failed_keys.begin(), failed_keys.end());
+        if (failed.contains(app::keys::steward)) {
+            timeline_.wait(Seconds{1.5});
+            return;
+        }
+        using What = core::Change::What;
+        for (const auto& change : changes) {
+            const bool job = change.what == What::put_job || change.what == What::finish_job;
+            const auto key = job ? app::keys::job(change.id) : app::keys::machine(change.id);
+            const bool over_failed = job && failed.contains(app::keys::over(change.id));
+            if (!failed.contains(key) && !over_failed) continue;
+            const auto record = store.get(key);
+            if (record.outcome != Outcome::ok && record.outcome != Outcome::absent) return;
+            std::optional<core::Final> final;
+            std::uint64_t final_stamp = 0;
+            if (job) {
+                const auto over = store.get(app::keys::over(change.id));
+                if (over.outcome != Outcome::ok && over.outcome != Outcome::absent) return;
+                if (over.outcome == Outcome::ok) {
+                    final = wire::parse_final(over.entry.value);
+                    final_stamp = over.entry.stamp;
+                }
+            }
+            if (final) finals.put(change.id, *final);
+            if (!same(epoch)) return;
+            if (final && change.what == What::finish_job)
+                office.controller->written({change}, final_stamp, timeline_.now());
+            else if (final)
+                office.controller->withdraw(change.id);
+            else
+                office.controller->restamp(change.what, change.id,
+                                           record.outcome == Outcome::ok ? record.entry.stamp : 0);
+        }
+    }
+
+    // `Service::place`.
+    void place() {
+        double next = 0;
+        for (;;) {
+            timeline_.wait(Seconds{0.25});
+            if (!office.place_pending && timeline_.seconds() < next) continue;
+            next = timeline_.seconds() + world_.config_.cycle.count();
+            office.place_pending = false;
+            if (!office.controller) continue;
+            office.controller->hold_finals_until(membership.finals_from());
+            office.controller->cycle(timeline_.now());
+            const auto calls =
+                office.controller->direct_calls(timeline_.now(), replication.may_renew());
+            office.takeover_log->look(*office.controller, timeline_.now());
+            if (office.takeover_log->progressed(timeline_.now())) membership.made_progress();
+            for (const auto& call : calls) world_.deliver_call(shared_from_this(), call);
+        }
+    }
+
+    // `CloudDesk`: what is to be returned is, nothing is rented.
+    void return_machines() {
+        for (;;) {
+            timeline_.wait(Seconds{1});
+            if (!office.controller) continue;
+            const auto epoch = office.controller->epoch();
+            const auto plan = office.controller->plan_renting(timeline_.now());
+            const auto names = membership.lease_valid() ? plan.release : plan.overdue;
+            if (names.empty()) continue;
+            timeline_.wait(Seconds{0.1});
+            if (world_.cloud_down_ > 0 || !world_.setting_.release) continue;
+            for (const auto& machine : names) {
+                auto& gone = world_.machines_.at(machine)->gone;
+                if (!gone) ++world_.released_;
+                gone = true;
+                world_.say(name + " has released " + machine);
+            }
+            timeline_.wait(Seconds{0.1});
+            if (!same(epoch)) continue;
+            office.controller->released(names);
+            office.want_write();
+            office.want_place();
+        }
+    }
+
+    TermsWorld& world_;
+    Timeline& timeline_;
+    const app::ClockFunction clock_;
+
+  public:
+    SimulatedStore store;
+    app::Office office;
+    app::Membership membership;
+    app::Peers peers;
+    app::CancellationReplication replication;
+    app::ReportDesk desk;
+    app::FinalCache finals;
+};
+
+TermsWorld::TermsWorld(const TermsSetting& setting)
+    : setting_(setting), random_(setting.seed), service_(timeline_, setting.seed + 1) {
+    config_.name = "c0";
+    config_.zones = {"a", "b"};
+    config_.workers = setting.workers;
+    config_.idle_return = Seconds(100'000);
+    core::Team team;
+    team.name = "t";
+    config_.teams.push_back(team);
+    core::MachineType type;
+    type.name = "g8";
+    type.size = {8, 0, 64};
+    type.cache_gb = 100;
+    type.price = 1;
+    type.spot_price = 0.5;
+    type.zones = config_.zones;
+    types_.push_back(type);
+    prepare_records();
+    for (int i = 0; i < setting.controllers; ++i) names_.push_back("c" + std::to_string(i));
+    for (const auto& name : names_) begin(name);
+    timeline_.after(tick_every, [this] { tick(); });
+}
+
+TermsWorld::~TermsWorld() {
+    timeline_.end();
+}
+
+void TermsWorld::prepare_records() {
+    for (int i = 0; i < setting_.machines; ++i) {
+        auto machine = std::make_unique<Machine>();
+        auto& worker = machine->worker;
+        worker.name = "m" + std::to_string(i);
+        worker.type = "g8";
+        worker.zone = i % 2 ? "a" : "b";
+        machine->at = below(setting_.controllers);
+        machine->next_report = below_one() * 2;
+        service_.transact(
+            {}, {{app::keys::machine(worker.name),
+                  wire::machine_record({worker.name, "127.0.0.1:1", worker.type, worker.zone, false,
+                                        core::MachineStage::running, Seconds{0}}),
+                  std::nullopt}});
+        machines_[worker.name] = std::move(machine);
+    }
+    for (int i = 0; i < setting_.jobs; ++i) {
+        core::JobSpec spec;
+        spec.id = "job-" + std::to_string(100000 + i);
+        spec.job_class = "c";
+        spec.team = "t";
+        spec.kind = core::Kind::service;
+        spec.tasks = static_cast<std::uint32_t>(1 + below(2));
+        spec.need = {1, 0, 1};
+        spec.image = "img";
+        spec.estimate = Seconds(100);
+        core::JobRecord record;
+        record.spec = spec;
+        record.home = "c0";
+        service_.transact({}, {{app::keys::job(spec.id), wire::job_record(record), std::nullopt}});
+        specs_[spec.id] = spec;
+    }
+}
+
+void TermsWorld::say(const std::string& what) const {
+    if (trace) trace(std::to_string(now()).substr(0, 7) + " " + what);
+}
+
+void TermsWorld::begin(const std::string& name) {
+    auto node = std::make_shared<TermsNode>(*this, name);
+    live_[name] = node;
+    all_lives_.push_back(node);
+    node->begin();
+}
+
+void TermsWorld::end(const std::string& name, double back) {
+    const auto node = live(name);
+    if (!node) return;
+    say(name + " ends");
+    node->life->over = true;
+    live_.erase(name);
+    timeline_.after(Seconds(back), [this, name] {
+        if (live_.contains(name)) return;
+        say(name + " is back");
+        begin(name);
+    });
+}
+
+std::shared_ptr<TermsNode> TermsWorld::live(const std::string& name) const {
+    const auto found = live_.find(name);
+    return found == live_.end() ? nullptr : found->second;
+}
+
+std::string TermsWorld::who(const std::string& word) {
+    if (word != "leader") return word;
+    for (const auto& [name, node] : live_)
+        if (node->leads_for_certain()) return name;
+    for (const auto& [name, node] : live_)
+        if (node->leads()) return name;
+    return names_[static_cast<std::size_t>(below(static_cast<int>(names_.size())))];
+}
+
+void TermsWorld::trouble(const std::string& line) {
+    const auto words = split(line);
+    timeline_.at(timeline_.time_of(std::stod(words.at(0))), [this, words] { play(words); });
+}
+
+void TermsWorld::for_a_while(double seconds, std::function<void()> begin,
+                             std::function<void()> end) {
+    begin();
+    timeline_.after(Seconds(seconds), std::move(end));
+}
+
+void TermsWorld::play(const Words& words) {
+    const auto& verb = words.at(1);
+    const auto number = [&](std::size_t i) { return std::stod(words.at(i)); };
+    std::string text;
+    for (const auto& word : words) text += " " + word;
+    say("--" + text);
+    const auto share = [&](double part, const auto& apply) {
+        for (auto& [name, machine] : machines_)
+            if (!machine->gone && below_one() < part) apply(*machine);
+    };
+    if (verb == "end") {
+        end(who(words.at(2)), number(3));
+    } else if (verb == "end-at-confirmation") {
+        ends_at_confirmation_.emplace_back(number(2), number(3));
+    } else if (verb == "end-at-takeover") {
+        ends_at_takeover_.emplace_back(number(2), number(3));
+    } else if (verb == "freeze") {
+        if (const auto node = live(who(words.at(2))))
+            node->life->still_until = core::later(timeline_.now(), Seconds(number(3)));
+    } else if (verb == "cut-state") {
+        auto& cut = words.at(3) == "held" ? state_cut_held_ : state_cut_refused_;
+        const auto name = who(words.at(2));
+        for_a_while(
+            number(4), [&] { cut.insert(name); }, [&cut, name] { cut.erase(name); });
+    } else if (verb == "cut-peers") {
+        const auto name = who(words.at(2));
+        for_a_while(
+            number(3), [&] { peers_cut_.insert(name); }, [this, name] { peers_cut_.erase(name); });
+    } else if (verb == "cut-pair") {
+        const auto pair = std::minmax(words.at(2), words.at(3));
+        const std::pair<std::string, std::string> both(pair.first, pair.second);
+        for_a_while(
+            number(4), [&] { pairs_cut_.insert(both); }, [this, both] { pairs_cut_.erase(both); });
+    } else if (verb == "cut-workers") {
+        const auto name = who(words.at(2));
+        share(number(3), [&](Machine& machine) {
+            const std::pair<std::string, std::string> both(name, machine.worker.name);
+            for_a_while(
+                number(4), [&] { workers_cut_.insert(both); },
+                [this, both] { workers_cut_.erase(both); });
+        });
+    } else if (verb == "peers-refuse") {
+        for_a_while(
+            number(2), [&] { ++peers_refuse_; }, [this] { --peers_refuse_; });
+    } else if (verb == "outage") {
+        for_a_while(
+            number(2), [&] { service_.outage(true); }, [this] { service_.outage(false); });
+    } else if (verb == "refuse") {
+        const auto name = who(words.at(2));
+        for_a_while(
+            number(3), [&] { service_.refused.insert(name); },
+            [this, name] { service_.refused.erase(name); });
+    } else if (verb == "slow") {
+        for_a_while(
+            number(3), [&] { service_.slow_share = number(2); },
+            [this] { service_.slow_share = 0; });
+    } else if (verb == "late") {
+        for_a_while(
+            number(3), [&] { service_.late_share = number(2); },
+            [this] { service_.late_share = 0; });
+    } else if (verb == "cloud-down") {
+        for_a_while(
+            number(2), [&] { ++cloud_down_; }, [this] { --cloud_down_; });
+    } else if (verb == "cancel") {
+        auto open = open_jobs();
+        for (int n = static_cast<int>(number(2)); n > 0 && !open.empty(); --n) {
+            const auto chosen = open.begin() + below(static_cast<int>(open.size()));
+            const auto job = *chosen;
+            open.erase(chosen);
+            if (words.size() > 4)
+                for (auto& [name, machine] : machines_)
+                    for (const auto& task : machine->worker.tasks)
+                        if (task.job == job && task.state != TaskState::exited)
+                            machine->hung_until = std::max(machine->hung_until, now() + number(4));
+            cancel(job);
+        }
+    } else if (verb == "mute") {
+        share(number(2), [&](Machine& machine) { machine.mute_until = now() + number(3); });
+    } else if (verb == "deaf") {
+        share(number(2), [&](Machine& machine) { machine.deaf_until = now() + number(3); });
+    } else if (verb == "hang") {
+        share(number(2), [&](Machine& machine) { machine.hung_until = now() + number(3); });
+    } else if (verb == "copies") {
+        share(1, [&](Machine& machine) {
+            const auto body = wire::report_body(machine.last_report);
+            for (const auto& [name, node] : live_)
+                timeline_.spawn(node->life,
+                                [node, body] { node->desk.report(body, app::From::outside); });
+        });
+    } else {
+        throw std::runtime_error("unknown trouble " + verb);
+    }
+}
+
+bool TermsWorld::cut(const std::string& one, const std::string& other) const {
+    const auto pair = std::minmax(one, other);
+    return peers_cut_.contains(one) || peers_cut_.contains(other) ||
+           pairs_cut_.contains({pair.first, pair.second});
+}
+
+SimulatedStore::Way TermsWorld::way_to_state(const std::string& name) const {
+    if (state_cut_held_.contains(name)) return SimulatedStore::Way::held;
+    if (state_cut_refused_.contains(name)) return SimulatedStore::Way::refused;
+    return SimulatedStore::Way::open;
+}
+
+std::optional<wire::peer::Answer> TermsWorld::call_peer(const std::string& from,
+                                                        const std::string& to,
+                                                        const wire::peer::Request& request) {
+    const auto target = live(to);
+    if (!target || peers_refuse_ > 0) {
+        timeline_.wait(Seconds{0.001});
+        return std::nullopt;
+    }
+    struct Exchange {
+        std::optional<wire::peer::Answer> answer;
+        std::shared_ptr<Timeline::Signal> done = std::make_shared<Timeline::Signal>();
+    };
+    const auto exchange = std::make_shared<Exchange>();
+    // What a cut holds arrives once it is over.
+    const auto arrive = [=, this](const auto& again) -> void {
+        if (target->life->over) return;
+        if (cut(from, to)) {
+            timeline_.after(Seconds{0.2}, [again] { again(again); });
+            return;
+        }
+        timeline_.in(target->life, Seconds{0}, [=, this] {
+            timeline_.spawn(target->life, [=, this] {
+                const auto answer = target->answer(request);
+                timeline_.after(latency(), [=, this] {
+                    if (cut(from, to)) return;
+                    exchange->answer = answer;
+                    timeline_.set(exchange->done);
+                });
+            });
+        });
+    };
+    timeline_.after(latency(), [arrive] { arrive(arrive); });
+    timeline_.wait_for(exchange->done, call_limit);
+    return exchange->answer;
+}
+
+void TermsWorld::became_leader(const std::string& name, std::uint64_t epoch) {
+    ++terms_;
+    say(name + " leads under epoch " + std::to_string(epoch));
+    if (ends_at_takeover_.empty()) return;
+    const auto [delay, back] = ends_at_takeover_.back();
+    ends_at_takeover_.pop_back();
+    timeline_.after(Seconds(delay), [this, name, back = back] { end(name, back); });
+}
+
+void TermsWorld::run(double until) {
+    timeline_.run_until(timeline_.time_of(until));
+}
+
+void TermsWorld::tick() {
+    const auto steward = service_.get(app::keys::steward);
+    if (steward.entry.stamp != steward_stamp_ && !service_.down()) {
+        steward_stamp_ = steward.entry.stamp;
+        for (const auto& [name, node] : live_)
+            if (way_to_state(name) == SimulatedStore::Way::open && !service_.refused.contains(name))
+                timeline_.set(node->look);
+    }
+    for (auto& [name, machine] : machines_)
+        if (!machine->gone) tick(*machine);
+    check();
+    timeline_.after(tick_every, [this] { tick(); });
+}
+
+// A hanging machine does nothing; it may go on at any time within its lease.
+void TermsWorld::tick(Machine& machine) {
+    const auto lease_end = machine.last_answered + setting_.workers.lease.count();
+    if (machine.hung_until > now()) {
+        if (now() < lease_end) return;
+        machine.hung_until = now();
+    }
+    if (now() > lease_end) expire(machine);
+    for (auto& task : machine.worker.tasks)
+        if (task.state == TaskState::fetching) {
+            task.state = TaskState::running;
+            machine.changed = true;
+        }
+    if (machine.in_flight && now() - machine.sent > report_patience)
+        failed(machine, machine.flight, 1);
+    const bool due = now() >= machine.next_report || machine.changed;
+    if (!machine.in_flight && due && now() - machine.last_sent >= 0.5) send_report(machine);
+}
+
+void TermsWorld::expire(Machine& machine) {
+    auto& worker = machine.worker;
+    ++expired_;
+    say(worker.name + "'s lease is over");
+    worker.tasks.clear();
+    ++worker.session;
+    worker.seq = 0;
+    machine.last_answered = now();
+    machine.changed = true;
+}
+
+void TermsWorld::send_report(Machine& machine) {
+    machine.changed = false;
+    machine.in_flight = true;
+    machine.sent = machine.last_sent = now();
+    machine.next_report = now() + setting_.workers.report.count() * (0.75 + 0.5 * below_one());
+    machine.last_report = machine.worker.report();
+    const auto flight = ++machine.flight;
+    const auto& name = names_[static_cast<std::size_t>(machine.at)];
+    const auto node = live(name);
+    if (machine.mute_until > now() || workers_cut_.contains({name, machine.worker.name})) return;
+    if (!node) return failed(machine, flight, 1);
+    const auto body = wire::report_body(machine.last_report);
+    timeline_.in(node->life, latency(), [=, this, &machine] {
+        timeline_.spawn(node->life, [=, this, &machine] {
+            const auto reply = node->desk.report(body, app::From::outside);
+            timeline_.after(latency(), [=, this, &machine] { answered(machine, flight, reply); });
+        });
+    });
+}
+
+void TermsWorld::failed(Machine& machine, std::uint64_t flight, double pause) {
+    if (!machine.in_flight || machine.flight != flight) return;
+    machine.in_flight = false;
+    machine.at = (machine.at + 1) % setting_.controllers;
+    machine.next_report = now() + pause;
+}
+
+bool TermsWorld::hears(const Machine& machine) const {
+    return !machine.gone && machine.deaf_until <= now();
+}
+
+void TermsWorld::answered(Machine& machine, std::uint64_t flight, const app::Reply& reply) {
+    if (machine.gone || !machine.in_flight || machine.flight != flight) return;
+    if (!hears(machine) || now() - machine.sent > report_patience) return;
+    if (machine.hung_until > now()) {
+        timeline_.after(Seconds{0.1}, [=, this, &machine] { answered(machine, flight, reply); });
+        return;
+    }
+    if (machine.last_report.session != machine.worker.session) return failed(machine, flight, 1);
+    if (reply.status == 421) {
+        const auto leader = wire::parse_cbor(reply.body).value().value("foreman", "");
+        const auto found = std::find(names_.begin(), names_.end(), leader);
+        if (found == names_.end()) return failed(machine, flight, 1);
+        machine.in_flight = false;
+        machine.at = static_cast<int>(found - names_.begin());
+        machine.next_report = now() + 0.5 * below_one();
+        return;
+    }
+    if (reply.status != 200) return failed(machine, flight, 1);
+    machine.in_flight = false;
+    const auto answer = read_orders(reply.body);
+    if (answer.token < machine.worker.token) return;
+    machine.last_answered = machine.sent;
+    std::string text;
+    for (const auto& order : answer.orders)
+        text += (order.verb == core::Order::Verb::stop ? " stop " : " order ") + order.job;
+    say(machine.worker.name + " renewed by " + names_[static_cast<std::size_t>(machine.at)] + " " +
+        std::to_string(answer.token) + text);
+    obey(machine, answer.token, answer.orders);
+    check_renewal(machine);
+}
+
+// The lease that was just renewed must end before what it keeps alive has to be gone.
+void TermsWorld::check_renewal(const Machine& machine) {
+    for (const auto& task : machine.worker.tasks) {
+        const auto asked = asked_.find(task.job);
+        if (task.state == TaskState::exited || asked == asked_.end() || asked->second.told < 0)
+            continue;
+        const auto lease_end = machine.sent + setting_.workers.lease.count();
+        if (lease_end > asked->second.told + setting_.workers.cancel.count())
+            note("renewed unknowingly: " + task.job + " on " + machine.worker.name + " by " +
+                 names_[static_cast<std::size_t>(machine.at)]);
+    }
+}
+
+void TermsWorld::obey(Machine& machine, std::uint64_t token,
+                      const std::vector<core::Order>& orders) {
+    auto& worker = machine.worker;
+    if (token > worker.token) {
+        worker.token = token;
+        if (now() - machine.token_change > setting_.workers.lease.count() / 2) {
+            machine.token_change = now();
+            machine.changed = true;
+        }
+    }
+    for (const auto& order : orders) {
+        worker.execute(order, 1e9, 0, 0, false);
+        machine.changed = true;
+    }
+}
+
+// What a machine that hangs or is cut off cannot take now arrives later.
+void TermsWorld::deliver_call(const std::shared_ptr<TermsNode>& from,
+                              const core::DirectCall& call) {
+    const auto settled = std::make_shared<bool>(false);
+    const auto settle = [=, this](core::CallOutcome outcome,
+                                  const std::optional<core::Report>& report) {
+        timeline_.in(from->life, latency(), [=, this] {
+            if (std::exchange(*settled, true)) return;
+            auto& controller = from->office.controller;
+            if (!controller || controller->epoch() != call.token) return;
+            controller->called(call, outcome, report ? &*report : nullptr, timeline_.now());
+            from->office.want_write();
+            from->office.want_place();
+        });
+    };
+    const auto arrive = [=, this](const auto& again) -> void {
+        auto& machine = *machines_.at(call.machine);
+        if (machine.gone) return;
+        if (!hears(machine) || machine.hung_until > now() || machine.mute_until > now() ||
+            workers_cut_.contains({from->name, call.machine})) {
+            timeline_.after(Seconds{0.2}, [again] { again(again); });
+            return;
+        }
+        auto outcome = core::CallOutcome::rejected;
+        if (call.token >= machine.worker.token && call.session == machine.worker.session) {
+            obey(machine, call.token, call.orders);
+            outcome = core::CallOutcome::executed;
+        }
+        settle(outcome, machine.worker.report());
+    };
+    timeline_.after(latency(), [arrive] { arrive(arrive); });
+    timeline_.after(call_limit, [settle] { settle(core::CallOutcome::unknown, std::nullopt); });
+}
+
+std::vector<std::string> TermsWorld::open_jobs() const {
+    std::set<std::string> out;
+    for (const auto& [name, machine] : machines_)
+        for (const auto& task : machine->worker.tasks)
+            if (!machine->gone && task.state == TaskState::running && !asked_.contains(task.job))
+                out.insert(task.job);
+    return {out.begin(), out.end()};
+}
+
+// A user asks until it is told, at one controller after the other.
+void TermsWorld::cancel(const std::string& job) {
+    asked_[job] = {};
+    ask_to_cancel(job);
+}
+
+void TermsWorld::ask_to_cancel(const std::string& job) {
+    if (asked_[job].told >= 0) return;
+    const auto& name = names_[static_cast<std::size_t>(below(static_cast<int>(names_.size())))];
+    const auto again = [=, this](double pause) {
+        timeline_.after(Seconds(pause), [=, this] { ask_to_cancel(job); });
+    };
+    const auto node = live(name);
+    if (!node) return again(0.3);
+    const auto settled = std::make_shared<bool>(false);
+    timeline_.in(node->life, latency(), [=, this] {
+        timeline_.spawn(node->life, [=, this] {
+            const auto status = node->cancel(job, app::From::outside);
+            timeline_.after(latency(), [=, this] {
+                if (std::exchange(*settled, true)) return;
+                if (status == 200) return told(job, name);
+                again(0.5 + below_one());
+            });
+        });
+    });
+    timeline_.after(Seconds(user_patience), [=, this] {
+        if (!std::exchange(*settled, true)) again(0.1);
+    });
+}
+
+void TermsWorld::told(const std::string& job, const std::string& by) {
+    if (asked_[job].told >= 0) return;
+    asked_[job].told = now();
+    ++confirmed_;
+    say("user of " + job + " is told by " + by);
+    if (ends_at_confirmation_.empty()) return;
+    const auto [delay, back] = ends_at_confirmation_.back();
+    ends_at_confirmation_.pop_back();
+    timeline_.after(Seconds(delay), [this, back = back] { end(who("leader"), back); });
+}
+
+std::size_t TermsWorld::running() const {
+    std::size_t out = 0;
+    for (const auto& [name, machine] : machines_)
+        for (const auto& task : machine->worker.tasks)
+            out += !machine->gone && task.state == TaskState::running;
+    return out;
+}
+
+void TermsWorld::note(const std::string& what) {
+    if (!noted_.insert(what).second) return;
+    say("BROKEN " + what);
+    broken_.push_back(std::to_string(now()).substr(0, 7) + " " + what);
+}
+
+void TermsWorld::check() {
+    for (const auto& [name, machine] : machines_) {
+        if (machine->gone) continue;
+        for (const auto& task : machine->worker.tasks) {
+            if (task.state != TaskState::running) continue;
+            const auto asked = asked_.find(task.job);
+            if (asked == asked_.end() || asked->second.told < 0) continue;
+            if (now() - asked->second.told > setting_.workers.cancel.count())
+                note("ran_cancelled: " + task.job + " is on " + name);
+        }
+    }
+    std::string leaders;
+    int number = 0;
+    for (const auto& node : all_lives_)
+        if (node->leads_for_certain()) {
+            ++number;
+            leaders += " " + node->name;
+        }
+    if (number > 1) note("two leaders:" + leaders);
+}
+
+}  // namespace bendspindle::standin
