--- a/src/app/report_desk.cpp
+++ b/src/app/report_desk.cpp
@@ -88,10 +88,7 @@
     // Guard against ran_cancelled: before the records are loaded this controller knows no more than
     // a follower, and renews no more than one. Each of several leaders that follow each other
     // quickly used to give every machine another lease, and none of them a stop.
-    if (!office_.controller) {
-        if (!role_.lease_valid()) return busy("taking over");
-        return renew_unheard(report, epoch);
-    }
+    if (!office_.controller) return renew_unheard(report, epoch);
     const auto before = office_.controller->counts();
     const auto answer = office_.controller->report(report, clock_());
     if (!answer.entitled) return busy("another controller acts");
