--- a/tests/standin/services.cpp
+++ b/tests/standin/services.cpp
@@ -9,6 +9,7 @@
 using wire::Value;
 
 constexpr const char* cbor = "application/cbor";
+constexpr std::chrono::milliseconds longer_than_anybody_waits{1700};
 
 void answer(httplib::Response& response, int status, const Value& body) {
     response.status = status;
@@ -39,13 +40,8 @@
         return httplib::Server::HandlerResponse::Handled;
     });
     server.Get(R"(/kv/(.+))", [this](const auto& request, auto& response) {
-        const std::lock_guard lock(mutex_);
-        expire();
-        const auto it = items_.find(request.matches[1]);
-        if (it == items_.end()) return answer(response, 404, {{"ledger_tick", revision_}});
-        Value out{{"path", it->first}, {"v", it->second.value}, {"stamp", it->second.stamp}};
-        if (it->second.lease != 0) out["loan"] = it->second.lease;
-        answer(response, 200, out);
+        read(request.matches[1], response);
+        read_slowly(request.matches[1]);
     });
     server.Get("/kv", [this](const auto& request, auto& response) {
         const std::lock_guard lock(mutex_);
@@ -59,6 +55,7 @@
     });
     server.Get("/watch", [this, &front](const auto& request, auto& response) {
         const auto prefix = request.get_param_value("starts");
+        std::chrono::milliseconds late{0};
         const auto since = std::stoull(request.get_param_value("since"));
         const auto until =
             Clock::now() + std::chrono::milliseconds(std::stoi(request.get_param_value("wait_ms")));
@@ -74,14 +71,19 @@
                     if (key.starts_with(prefix) && stamp > since)
                         events.push_back({{"delete", key}, {"stamp", stamp}});
                 if (refused(front)) events = Value::array();
-                if (!events.empty() || ending_ || Clock::now() >= until)
-                    return answer(response, 200, {{"ledger_tick", revision_}, {"events", events}});
+                if (!events.empty() || ending_ || Clock::now() >= until) {
+                    late = events.empty() ? std::chrono::milliseconds{0} : slow_watches_.of(prefix);
+                    answer(response, 200, {{"ledger_tick", revision_}, {"events", events}});
+                    break;
+                }
             }
             std::this_thread::sleep_for(std::chrono::milliseconds(20));
         }
+        std::this_thread::sleep_for(late);
+    });
+    server.Post("/txn", [this](const auto& request, auto& response) {
+        transact_in_time(request, response);
     });
-    server.Post("/txn",
-                [this](const auto& request, auto& response) { transact(request, response); });
     server.Post("/leases", [this](const auto& request, auto& response) {
         const std::lock_guard lock(mutex_);
         const auto body = wire::parse_cbor(request.body);
@@ -142,16 +144,66 @@
     });
 }
 
-void StateService::transact(const httplib::Request& request, httplib::Response& response) {
+void StateService::read(const std::string& key, httplib::Response& response) {
+    const std::lock_guard lock(mutex_);
+    expire();
+    const auto it = items_.find(key);
+    if (it == items_.end()) return answer(response, 404, {{"ledger_tick", revision_}});
+    Value out{{"path", it->first}, {"v", it->second.value}, {"stamp", it->second.stamp}};
+    if (it->second.lease != 0) out["loan"] = it->second.lease;
+    answer(response, 200, out);
+}
+
+void StateService::read_slowly(const std::string& key) {
     std::chrono::milliseconds late{0};
     {
         const std::lock_guard lock(mutex_);
-        if (!held_.empty()) {
-            late = held_.front();
-            held_.erase(held_.begin());
-        }
+        late = std::max(slow_reads_.of(key), drawn_slowness());
     }
     std::this_thread::sleep_for(late);
+}
+
+// Needs the lock.
+std::chrono::milliseconds StateService::drawn_slowness() {
+    if (std::uniform_real_distribution<>(0, 1)(random_) >= troubles_.slow)
+        return std::chrono::milliseconds{0};
+    return std::chrono::milliseconds(
+        std::uniform_int_distribution<>(0, static_cast<int>(troubles_.slow_most.count()))(random_));
+}
+
+StateService::Fate StateService::fate_of_transaction(const Value& body) {
+    const std::lock_guard lock(mutex_);
+    Fate fate;
+    if (!held_.empty()) {
+        fate.before = held_.front();
+        held_.erase(held_.begin());
+        return fate;
+    }
+    const auto drawn = std::uniform_real_distribution<>(0, 1)(random_);
+    if (drawn < troubles_.late) {
+        std::uniform_int_distribution<> late(static_cast<int>(troubles_.late_least.count()),
+                                             static_cast<int>(troubles_.late_most.count()));
+        fate.before = std::chrono::milliseconds(late(random_));
+        ++troubled_;
+    } else if (drawn < troubles_.late + troubles_.lost) {
+        fate.after = longer_than_anybody_waits;
+        ++troubled_;
+    } else {
+        fate.after = drawn_slowness();
+    }
+    for (const auto& operation : body["apply"])
+        fate.after = std::max(fate.after, slow_puts_.of(operation.value("put", std::string())));
+    return fate;
+}
+
+void StateService::transact_in_time(const httplib::Request& request, httplib::Response& response) {
+    const auto fate = fate_of_transaction(wire::parse_cbor(request.body).value());
+    std::this_thread::sleep_for(fate.before);
+    transact(request, response);
+    std::this_thread::sleep_for(fate.after);
+}
+
+void StateService::transact(const httplib::Request& request, httplib::Response& response) {
     const std::lock_guard lock(mutex_);
     expire();
     const auto body = wire::parse_cbor(request.body);
--- a/tests/standin/services.hpp
+++ b/tests/standin/services.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -18,6 +19,16 @@
 
 namespace bendspindle::standin {
 
+// What befalls requests to the state service, drawn from a seed.
+struct Troubles {
+    double lost = 0;  // share of transactions carried out at once whose answer is lost
+    double late = 0;  // share of transactions without an answer, carried out only after this long
+    std::chrono::milliseconds late_least{2000};
+    std::chrono::milliseconds late_most{4000};
+    double slow = 0;  // share of reads and transactions carried out at once and answered late
+    std::chrono::milliseconds slow_most{300};
+};
+
 class StateService {
   public:
     explicit StateService(int port) : StateService(std::vector<int>{port}) {}
@@ -39,6 +50,35 @@
         refused_ = key;
     }
 
+    // What touches keys that begin like this is carried out at once and answered this late:
+    // transactions that put one, reads of one, watches of them. A time of 0 ends it.
+    void slow_puts(const std::string& prefix, std::chrono::milliseconds time) {
+        const std::lock_guard lock(mutex_);
+        slow_puts_ = {prefix, time};
+    }
+    void slow_reads(const std::string& prefix, std::chrono::milliseconds time) {
+        const std::lock_guard lock(mutex_);
+        slow_reads_ = {prefix, time};
+    }
+    void slow_watches(const std::string& prefix, std::chrono::milliseconds time) {
+        const std::lock_guard lock(mutex_);
+        slow_watches_ = {prefix, time};
+    }
+    // From now on; without any by default.
+    void trouble(const Troubles& troubles, unsigned seed) {
+        const std::lock_guard lock(mutex_);
+        troubles_ = troubles;
+        random_.seed(seed);
+    }
+    // So many transactions were carried out unanswered, or late.
+    int troubled() const { return troubled_; }
+    // What a key holds; null: nothing.
+    wire::Value value(const std::string& key) {
+        const std::lock_guard lock(mutex_);
+        const auto it = items_.find(key);
+        return it == items_.end() ? wire::Value{} : it->second.value;
+    }
+
   private:
     using Clock = std::chrono::steady_clock;
     struct Item {
@@ -52,9 +92,33 @@
     };
     void expire();
     void end(std::uint64_t lease);
+    void read(const std::string& key, httplib::Response& response);
     void transact(const httplib::Request& request, httplib::Response& response);
+    void transact_in_time(const httplib::Request& request, httplib::Response& response);
+
+    struct Slow {
+        std::string prefix;
+        std::chrono::milliseconds time{0};
+        std::chrono::milliseconds of(const std::string& key) const {
+            return key.starts_with(prefix) ? time : std::chrono::milliseconds{0};
+        }
+    };
+    // What befalls one request: the time before it is carried out, and before it is answered.
+    struct Fate {
+        std::chrono::milliseconds before{0};
+        std::chrono::milliseconds after{0};
+    };
+    Fate fate_of_transaction(const wire::Value& body);
+    std::chrono::milliseconds drawn_slowness();
+    void read_slowly(const std::string& key);
 
     std::mutex mutex_;
+    Slow slow_puts_;
+    Slow slow_reads_;
+    Slow slow_watches_;
+    Troubles troubles_;
+    std::mt19937 random_;
+    std::atomic<int> troubled_{0};
     std::uint64_t revision_ = 1;
     std::uint64_t next_lease_ = 0;
     std::map<std::string, Item> items_;
