What is told of a job does not go back

Cause, each with the test that brings it about: - News of a job's first record (a watch's answer held up for 3 s) began the job again after its end once the cache of ended jobs had forgotten it: told as queued after it had been told as cancelled. - The 201 of a follower was composed without a read; with the transaction's answer slow, or after a standstill, it left after others had told the end. The same for a record read long ago. - A refused write of an end settled the job by memory and not by the record. - An id sent with two bodies, to two controllers, ran as the one that was not recorded first. - A submission at the leader did not look at the lease after its wait. Change: `JobNews` takes only what was put after the revision up to which all is known, and nothing whose end was recorded since; a 201 later than 50 ms after its transaction is read, and an open state asked for over 0.5 s ago is read once more; the record wins over memory. With that the record may be told wherever memory may not: a user who asks while a first or final record is under way gets its state instead of 503, and a cancellation ahead of the news of the job learns it. Conclusion: one path told an older state by the order itself, three more were allowed by it and the last word a user saw all the same.

--- a/src/app/acceptor.cpp
+++ b/src/app/acceptor.cpp
@@ -24,7 +24,7 @@
 
 Acceptor::Acceptor(StateStore& store, StateLimits limits) : store_(store), limits_(limits) {}
 
-Acceptor::Outcome Acceptor::accept(core::JobRecord record) {
+Acceptor::Answer Acceptor::accept(core::JobRecord record) {
     auto entry = std::make_shared<Entry>();
     entry->record = std::move(record);
     entry->until = Clock::now() + accept_limit;
@@ -32,7 +32,7 @@
     waiting_.push_back(entry);
     wanted_.notify_one();
     settled_.wait_until(lock, entry->until, [&] { return entry->outcome.has_value(); });
-    return entry->outcome.value_or(Outcome::failed);
+    return {entry->outcome.value_or(Outcome::failed), entry->sent};
 }
 
 Acceptor::Batch Acceptor::gather() {
@@ -52,9 +52,10 @@
     return batch;
 }
 
-void Acceptor::settle(const Batch& batch, const Txn& txn) {
+void Acceptor::settle(const Batch& batch, const Txn& txn, Clock::time_point sent) {
     const std::lock_guard lock(mutex_);
     for (const auto& entry : batch) {
+        entry->sent = sent;
         const auto& id = entry->record.spec.id;
         const auto failed = [&](const std::string& key) {
             return std::find(txn.failed.begin(), txn.failed.end(), key) != txn.failed.end();
@@ -81,8 +82,9 @@
         conditions.push_back({keys::over(id), 0});
         operations.push_back({keys::job(id), wire::job_record(entry->record), {}});
     }
+    const auto sent = Clock::now();
     const auto txn = store_.transact(conditions, operations);
-    settle(batch, txn);
+    settle(batch, txn, sent);
     return txn.outcome;
 }
 
--- a/src/app/acceptor.hpp
+++ b/src/app/acceptor.hpp
@@ -23,11 +23,17 @@
         failed,  // not recorded in time, as far as known
     };
 
+    struct Answer {
+        Outcome outcome = Outcome::failed;
+        // When the transaction was sent: others may have told of the job since.
+        std::chrono::steady_clock::time_point sent{};
+    };
+
     Acceptor(StateStore& store, StateLimits limits);
     // Runs until the process ends.
     void run();
     // Waits until the record is written, or no longer than a user may be kept waiting.
-    Outcome accept(core::JobRecord record);
+    Answer accept(core::JobRecord record);
 
   private:
     using Clock = std::chrono::steady_clock;
@@ -35,12 +41,13 @@
         core::JobRecord record;
         Clock::time_point until{};
         std::optional<Outcome> outcome;
+        Clock::time_point sent{};
     };
     using Batch = std::vector<std::shared_ptr<Entry>>;
 
     Batch gather();
     app::Outcome write(const Batch& batch);
-    void settle(const Batch& batch, const Txn& txn);
+    void settle(const Batch& batch, const Txn& txn, Clock::time_point sent);
 
     StateStore& store_;
     StateLimits limits_;
--- a/src/app/office.hpp
+++ b/src/app/office.hpp
@@ -2,6 +2,7 @@
 // call out: threads take what they need, unlock, call, and come back with the outcome.
 #pragma once
 
+#include <algorithm>
 #include <condition_variable>
 #include <deque>
 #include <memory>
@@ -42,6 +43,37 @@
     std::deque<std::string> order_;
 };
 
+// What news of open jobs an acting controller takes. An event of a watch or a page of a listing may
+// be read long before it is looked at; the job may have ended meanwhile and left memory. Whatever
+// was put at or before `revision` is known already or over, and of what was put later it is
+// remembered which has ended, until news reach that far. So no old news begins a job again, however
+// late it comes and whatever else has been forgotten.
+class JobNews {
+  public:
+    // Records up to this revision were read.
+    void begin(std::uint64_t revision) {
+        revision_ = revision;
+        ended_.clear();
+    }
+    std::uint64_t revision() const { return revision_; }
+    bool is_new(const std::string& id, std::uint64_t stamp) const {
+        return stamp > revision_ && !ended_.contains(id);
+    }
+    // The job's final state was recorded at this revision.
+    void ended(const std::string& id, std::uint64_t revision) {
+        if (revision > revision_) ended_[id] = revision;
+    }
+    // All news up to this revision were taken.
+    void reached(std::uint64_t revision) {
+        revision_ = std::max(revision_, revision);
+        std::erase_if(ended_, [&](const auto& entry) { return entry.second <= revision_; });
+    }
+
+  private:
+    std::uint64_t revision_ = 0;
+    std::unordered_map<std::string, std::uint64_t> ended_;  // with the revisions of their ends
+};
+
 struct Office {
     // The cloud's catalog. Whoever acts plans with it, others judge by it what can ever run.
     std::vector<core::MachineType> types() const {
@@ -80,7 +112,7 @@
     std::unique_ptr<core::Controller> controller;
     std::optional<TakeoverLog> takeover_log;  // of the present controller
     std::uint64_t steward_stamp = 0;
-    std::uint64_t learned_revision = 0;  // up to which records of open jobs are known
+    JobNews news;  // of open jobs, for the present controller
     bool write_pending = false;
     bool place_pending = false;
 
--- a/src/app/recorder.cpp
+++ b/src/app/recorder.cpp
@@ -101,6 +101,9 @@
         if (change.what == core::Change::What::finish_job) finals_.put(change.id, change.job.final);
     const std::lock_guard lock(office_.mutex);
     if (!office_.controller || office_.controller->epoch() != batch.epoch) return;
+    for (const auto& change : batch.changes)
+        if (change.what == core::Change::What::finish_job)
+            office_.news.ended(change.id, txn.revision);
     office_.controller->written(batch.changes, txn.revision, Clock::now());
     office_.recorded.notify_all();
     office_.want_place();
@@ -149,13 +152,22 @@
             }
         }
         if (final) finals_.put(change.id, *final);
+        // Guard: an id submitted with two bodies, at two controllers at once, ran as the one that
+        // was not recorded first.
+        std::optional<core::JobRecord> elsewhere;
+        if (change.what == What::put_job && record.outcome == Outcome::ok)
+            elsewhere = wire::parse_job_record(record.entry.value);
+        if (elsewhere && !elsewhere->home.empty()) elsewhere.reset();
         const std::lock_guard lock(office_.mutex);
         auto* controller = office_.controller.get();
         if (!controller || controller->epoch() != batch.epoch) return;
-        if (final && change.what == What::finish_job)
-            controller->written({change}, final_stamp, Clock::now());
-        else if (final)
-            controller->withdraw(change.id);
+        if (final) office_.news.ended(change.id, final_stamp);
+        // Guard against went_back: what is told of the job is what the record says, not what the
+        // refused write would have said.
+        if (final)
+            controller->over_by_record(change.id, *final, Clock::now());
+        else if (elsewhere)
+            controller->found_elsewhere(*elsewhere, record.entry.stamp, Clock::now());
         else
             controller->restamp(change.what, change.id,
                                 record.outcome == Outcome::ok ? record.entry.stamp : 0);
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -18,6 +18,11 @@
 constexpr const char* cbor = "application/cbor";
 constexpr milliseconds peer_limit{1500};
 constexpr milliseconds record_limit{2500};  // users give up after 5 s
+// An open job's state that was asked for longer ago is asked for once more before it is told: the
+// controller may have stood still, and others told newer states meanwhile.
+constexpr milliseconds told_within{500};
+// The same for a 201, whose state was not read at all: the transaction that it answers left it.
+constexpr milliseconds accepted_within{50};
 constexpr seconds health_memory{6};
 // Of the requests that the state service takes, for reading what users ask about.
 constexpr double share_for_polls = 0.85;
@@ -43,6 +48,13 @@
     return core::JobStatus{final, 0, 0};
 }
 
+// Whether others may have told a newer state than this answer's since it was asked for.
+bool aged(const Reply& reply, std::chrono::steady_clock::time_point asked) {
+    if (std::chrono::steady_clock::now() - asked <= told_within) return false;
+    if (reply.status == 404) return true;
+    return reply.status == 200 && !wire::final_in_status(reply.body);
+}
+
 }  // namespace
 
 Service::Service(Settings settings, OperatorSettings own)
@@ -96,7 +108,7 @@
         controller->hold_finals_until(membership_.finals_from());
         log.loaded(*controller, Clock::now());
         office_.takeover_log = log;
-        office_.learned_revision = *revision;
+        office_.news.begin(*revision);
         office_.install(std::move(controller), steward_stamp);
     }).detach();
 }
@@ -148,15 +160,27 @@
     bool some = false;
     for (const auto& entry : entries) {
         const auto record = wire::parse_job_record(entry.value);
-        // Guard against doing finished work again: a record that this controller has written, or
-        // whose job is over, may be told of late.
-        if (!record || !record->home.empty() || finals_.get(record->spec.id)) continue;
+        // Guard against doing finished work again, and telling its user so: a record that this
+        // controller has written, or whose job is over, may be told of late.
+        if (!record || !record->home.empty()) continue;
+        if (!office_.news.is_new(record->spec.id, entry.stamp)) continue;
         some |= office_.controller->learn(*record, entry.stamp, Clock::now());
     }
-    office_.learned_revision = revision;
+    office_.news.reached(revision);
     if (some) office_.want_place();
 }
 
+// One that another controller has accepted a moment ago, before the news of it came. False: it is
+// not open, or is not to be learned now.
+bool Service::learn_job(const std::string& id, std::uint64_t epoch) {
+    const auto open = store_.get(keys::job(id));
+    if (open.outcome != Outcome::ok) return false;
+    learn_jobs({open.entry}, 0, epoch);
+    const std::lock_guard lock(office_.mutex);
+    return office_.controller && office_.controller->epoch() == epoch &&
+           office_.controller->knows(id);
+}
+
 void Service::learn() {
     for (;;) {
         std::uint64_t epoch = 0;
@@ -165,7 +189,7 @@
             const std::lock_guard lock(office_.mutex);
             if (office_.controller) {
                 epoch = office_.controller->epoch();
-                since = office_.learned_revision;
+                since = office_.news.revision();
             }
         }
         if (epoch != 0) {
@@ -228,17 +252,30 @@
 
 // Guard against leases that end for a flood of questions: while nobody acts each poll reads
 // records, and the state service refused renewals and writes together with them.
-Reply Service::poll_records(const std::string& id) {
+Reply Service::poll_records(const std::string& id, bool with_counts) {
     {
         const std::lock_guard lock(reads_mutex_);
         if (!poll_reads_.take(Clock::now())) return busy("too many questions at once");
     }
-    return from_records(id, true);
+    return from_records(id, with_counts);
+}
+
+// Of a job that this controller holds open but may tell nothing of: its first or its final record
+// is under way, or the lease is gone.
+Reply Service::known_by_records(const std::string& id, bool with_counts) {
+    auto reply = poll_records(id, with_counts);
+    return reply.status == 404 ? busy("the job is being recorded") : reply;
+}
+
+Reply Service::from_records(const std::string& id, bool with_counts) {
+    const auto asked = Clock::now();
+    auto reply = read_records(id, with_counts);
+    return aged(reply, asked) ? read_records(id, with_counts) : reply;
 }
 
 // The records have the last word. The open record is read first: a job that ends between the two
 // reads is then found by the second.
-Reply Service::from_records(const std::string& id, bool with_counts) {
+Reply Service::read_records(const std::string& id, bool with_counts) {
     const auto open = store_.get(keys::job(id));
     if (open.outcome == Outcome::ok) {
         const auto record = wire::parse_job_record(open.entry.value);
@@ -271,18 +308,18 @@
     core::JobRecord record;
     record.spec = spec;
     record.submitted = std::chrono::system_clock::now();
-    switch (acceptor_.accept(std::move(record))) {
-        case Acceptor::Outcome::accepted:
-            return {201, 0, wire::status_body(spec.id, core::JobStatus{}, false)};
-        case Acceptor::Outcome::known: {
-            auto reply = from_records(spec.id, false);
-            if (reply.status == 404) return busy("the record is changing");
-            return reply;
-        }
-        case Acceptor::Outcome::failed:
-            break;
-    }
-    return busy("the job could not be recorded in time");
+    const auto answer = acceptor_.accept(std::move(record));
+    if (answer.outcome == Acceptor::Outcome::failed)
+        return busy("the job could not be recorded in time");
+    const bool accepted = answer.outcome == Acceptor::Outcome::accepted;
+    if (accepted && Clock::now() - answer.sent <= accepted_within)
+        return {201, 0, wire::status_body(spec.id, core::JobStatus{}, false)};
+    // Guard against went_back: with the transaction's answer held up for a second the 201 "queued"
+    // left after others had told the job's end.
+    auto reply = from_records(spec.id, false);
+    if (reply.status == 404) return busy("the record is changing");
+    if (accepted && reply.status == 200) reply.status = 201;
+    return reply;
 }
 
 Reply Service::submit(const std::string& body) {
@@ -315,14 +352,15 @@
         return !office_.controller || !office_.controller->knows(id) ||
                office_.controller->durable(id);
     });
-    if (office_.controller)
+    // Guard against went_back: the wait may have been long, and the lease is gone since.
+    if (office_.controller && membership_.lease_valid())
         if (const auto status = office_.controller->status(id))
             return {fresh && !office_.controller->found(id) ? 201 : 200, 0,
                     wire::status_body(id, *status, false)};
     lock.unlock();
-    // Over already, or the write has not come through: the cache or the user's retry tells.
+    // Over already, or a write has not come through.
     if (auto reply = from_final(id, false)) return *reply;
-    return busy("the job could not be recorded in time");
+    return known_by_records(id, false);
 }
 
 Reply Service::status(const std::string& id, From from) {
@@ -330,14 +368,17 @@
     if (auto reply = from_final(id, true)) return *reply;
     if (!membership_.standing().acting) {
         if (from == From::sibling) return busy("another controller acts");
-        if (auto reply = hand_on(wire::peer::Op::status, id, {}); reply && reply->status != 503) {
+        const auto asked = Clock::now();
+        auto reply = hand_on(wire::peer::Op::status, id, {});
+        if (reply && reply->status != 503 && !aged(*reply, asked)) {
             // Final for good: the next to ask here needs nobody else.
             if (const auto final = wire::final_in_status(reply->body)) finals_.put(id, *final);
             return *reply;
         }
-        return poll_records(id);
+        return poll_records(id, true);
     }
     // Without the lease another controller may have told a newer state already.
+    bool known = false;
     {
         const std::lock_guard lock(office_.mutex);
         // Looked at after the wait for the lock, not before: nothing blocks from here to the
@@ -345,10 +386,10 @@
         if (office_.controller && membership_.lease_valid()) {
             if (const auto status = office_.controller->status(id))
                 return {200, 0, wire::status_body(id, *status, true)};
-            if (office_.controller->knows(id)) return busy("the job is being recorded");
+            known = office_.controller->knows(id);
         }
     }
-    return poll_records(id);
+    return known ? known_by_records(id, true) : poll_records(id, true);
 }
 
 Reply Service::cancel(const std::string& id, From from) {
@@ -362,15 +403,14 @@
     if (!membership_.lease_valid()) return busy("the state service does not answer", 2);
     std::unique_lock lock(office_.mutex);
     if (!office_.controller) return busy("taking over");
-    if (!office_.controller->knows(id)) {
-        lock.unlock();
-        auto reply = from_records(id, false);
-        // An open record that is not in memory cannot be: it is asked for again.
-        if (reply.status == 200 && !finals_.get(id)) return busy("the job is not loaded");
-        return reply;
-    }
     const auto epoch = office_.controller->epoch();
+    const bool known = office_.controller->knows(id);
     lock.unlock();
+    if (!known) {
+        auto reply = from_records(id, false);
+        if (reply.status != 200 || wire::final_in_status(reply.body)) return reply;
+        if (!learn_job(id, epoch)) return busy("the job is not loaded");
+    }
     if (!tell_cancelled(id, epoch)) return busy("the other controllers cannot be told");
     lock.lock();
     if (!office_.controller || office_.controller->epoch() != epoch) return busy("taking over");
@@ -389,6 +429,8 @@
     });
     lock.unlock();
     if (auto reply = from_final(id, false)) return *reply;
+    // Its write may have been carried out without an answer.
+    if (auto reply = poll_records(id, false); wire::final_in_status(reply.body)) return reply;
     return busy("the cancellation could not be recorded in time");
 }
 
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -49,7 +49,9 @@
     std::optional<Reply> hand_on(wire::peer::Op op, const std::string& id, const std::string& body);
     std::optional<Reply> from_final(const std::string& id, bool with_counts);
     Reply from_records(const std::string& id, bool with_counts);
-    Reply poll_records(const std::string& id);
+    Reply read_records(const std::string& id, bool with_counts);
+    Reply poll_records(const std::string& id, bool with_counts);
+    Reply known_by_records(const std::string& id, bool with_counts);
     template <typename Ready>
     bool wait_recorded(std::unique_lock<std::mutex>& lock, Ready ready);
 
@@ -78,6 +80,7 @@
     void learn();
     void learn_jobs(const std::vector<wire::Entry>& entries, std::uint64_t revision,
                     std::uint64_t epoch);
+    bool learn_job(const std::string& id, std::uint64_t epoch);
     void stand_down();
     void place();
     static void tell_starts(core::Controller& controller);
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -62,8 +62,13 @@
     bool found(const std::string& id) const;
     // Marks a job as cancelled; its record is written next. False: it is done already or unknown.
     bool cancel(const std::string& id, TimePoint now) { return pipelines_.cancel(id, now); }
-    // The write of a job's first record found that the job exists or was over already.
-    void withdraw(const std::string& id) { pipelines_.withdraw(id); }
+    // A write found in the state service that the job is over, or was accepted elsewhere before.
+    void over_by_record(const std::string& id, Final final, TimePoint now) {
+        pipelines_.over_by_record(id, final, now);
+    }
+    void found_elsewhere(const JobRecord& record, std::uint64_t stamp, TimePoint now) {
+        pipelines_.found_elsewhere(record, stamp, now);
+    }
 
     // Workers.
     ReportAnswer report(const Report& report, TimePoint now);
--- a/src/core/pipelines.cpp
+++ b/src/core/pipelines.cpp
@@ -104,9 +104,24 @@
     return true;
 }
 
-void Pipelines::withdraw(const std::string& id) {
+void Pipelines::over_by_record(const std::string& id, Final final, TimePoint now) {
     auto* job = find(id);
-    if (job && !job->durable && job->placed.empty()) forget(*job);
+    if (!job) return;
+    // Whichever it is, nothing of it is wanted any more: what is on machines is stopped.
+    finish(*job, Final::cancelled, now);
+    if (final == Final::cancelled && job->cancelled_at == TimePoint{}) job->cancelled_at = now;
+    job->final = final;
+    job->durable = true;
+    final_written(*job);
+}
+
+void Pipelines::found_elsewhere(const JobRecord& record, std::uint64_t stamp, TimePoint now) {
+    auto* job = find(record.spec.id);
+    // One that its user has called off meanwhile is ended under the stamp of the record.
+    if (!job || job->durable || job->over()) return restamp(record.spec.id, stamp);
+    forget(*job);
+    learn(record, stamp, now);
+    by_id_.at(record.spec.id)->found = true;
 }
 
 void Pipelines::changed(Job& job, TimePoint now) {
--- a/src/core/pipelines.hpp
+++ b/src/core/pipelines.hpp
@@ -41,8 +41,11 @@
     std::optional<JobStatus> status(const std::string& id) const;
     // False: it is done already or unknown.
     bool cancel(const std::string& id, TimePoint now);
-    // The write of a job's first record found that the job exists or was over already.
-    void withdraw(const std::string& id);
+    // The state service holds this final state. It has the last word, whatever is held here.
+    void over_by_record(const std::string& id, Final final, TimePoint now);
+    // The write of a job's first record found one that another controller has accepted: that is the
+    // job, whatever its user sent here.
+    void found_elsewhere(const JobRecord& record, std::uint64_t stamp, TimePoint now);
 
     // Attempts are never used again, by no controller.
     std::uint64_t next_attempt() { return ++next_attempt_; }
--- a/tests/office_test.cpp
+++ b/tests/office_test.cpp
@@ -72,6 +72,31 @@
     EXPECT_EQ(due[0].what, core::Change::What::finish_job);
 }
 
+// Guard against went_back: old news of a job that had ended began it again once the cache of ended
+// jobs had forgotten it.
+TEST(JobNews, OldNewsBeginNoJobHoweverLate) {
+    JobNews news;
+    news.begin(10);
+    EXPECT_FALSE(news.is_new("job-1", 10));  // read when the records were, or over by then
+    EXPECT_TRUE(news.is_new("job-1", 11));
+    news.ended("job-1", 15);
+    EXPECT_FALSE(news.is_new("job-1", 11));
+    news.reached(14);
+    EXPECT_FALSE(news.is_new("job-1", 11));
+    EXPECT_TRUE(news.is_new("job-2", 15));
+    news.reached(15);
+    EXPECT_FALSE(news.is_new("job-1", 11));
+    EXPECT_EQ(news.revision(), 15U);
+    // A listing's own revision may be older than news that came before it.
+    news.reached(12);
+    EXPECT_EQ(news.revision(), 15U);
+    EXPECT_FALSE(news.is_new("job-1", 11));
+    // Another controller's records begin anew.
+    news.begin(20);
+    EXPECT_FALSE(news.is_new("job-2", 20));
+    EXPECT_TRUE(news.is_new("job-2", 21));
+}
+
 // Two lives of a process may begin in the same millisecond: no name may come from a clock.
 TEST(Names, ALaterEpochSharesNoneWithTheOneBefore) {
     core::Config config;
--- a/tests/recorder_test.cpp
+++ b/tests/recorder_test.cpp
@@ -136,6 +136,85 @@
     EXPECT_FALSE(controller.knows("job-9"));
 }
 
+// Guard against went_back: a job held as cancelled whose record says that it is done was told as
+// cancelled here, and as done by everybody else.
+TEST(Recorder, TheRecordOfAnEndHasTheLastWord) {
+    auto& w = writing();
+    const auto lease = w.store.grant(60s);
+    ASSERT_TRUE(lease);
+    const auto steward = w.store.transact({}, {{keys::steward, wire::Value{{"name", "a"}}, lease}});
+    core::JobRecord record;
+    record.spec = job("job-10");
+    record.spec.kind = core::Kind::service;
+    record.last_attempt = 7;
+    record.home = "a";
+    const auto put =
+        w.store.transact({}, {{keys::job("job-10"), wire::job_record(record), std::nullopt}});
+    std::unique_lock lock(w.office.mutex);
+    core::Config config;
+    config.zones = {"a"};
+    config.teams = {{"red", {}, {}}};
+    auto controller = std::make_unique<core::Controller>(config, 4);
+    core::MachineType type;
+    type.name = "g8";
+    type.size = {8, 0, 64};
+    type.zones = {"a"};
+    controller->set_types({type});
+    controller->load_job(record, put.revision, Clock::now());
+    core::Report report;
+    report.machine = "m1";
+    report.address = "10.0.0.1:9000";
+    report.type = "g8";
+    report.zone = "a";
+    report.session = report.seq = 1;
+    report.token = 4;
+    report.tasks.push_back(
+        {"job-10", 0, 7, core::TaskState::running, core::ExitCause::none, false});
+    controller->report(report, Clock::now());
+    ASSERT_EQ(controller->status("job-10")->running, 1U);
+    w.office.install(std::move(controller), steward.revision);
+    const wire::Value over{{"final", "done"}};
+    w.store.transact({},
+                     {{keys::job("job-10"), std::nullopt, {}}, {keys::over("job-10"), over, {}}});
+    w.office.controller->cancel("job-10", Clock::now());
+    w.office.want_write();
+    ASSERT_TRUE(
+        w.office.recorded.wait_for(lock, 10s, [&] { return w.finals.get("job-10").has_value(); }));
+    EXPECT_EQ(w.finals.get("job-10"), core::Final::done);
+    // Its task is still there, and so is the job.
+    const auto status = w.office.controller->status("job-10");
+    ASSERT_TRUE(status);
+    EXPECT_EQ(status->final, core::Final::done);
+    w.office.controller.reset();
+}
+
+// Guard: of an id sent with two bodies, to two controllers, the one that was accepted first is the
+// job. The other one was run under its name.
+TEST(Recorder, AnIdSentWithTwoBodiesIsTheOneRecordedFirst) {
+    auto& w = writing();
+    const auto lease = w.store.grant(60s);
+    ASSERT_TRUE(lease);
+    const auto steward = w.store.transact({}, {{keys::steward, wire::Value{{"name", "a"}}, lease}});
+    core::JobRecord first;
+    first.spec = job("job-11");
+    ASSERT_EQ(w.acceptor.accept(first).outcome, Acceptor::Outcome::accepted);
+    std::unique_lock lock(w.office.mutex);
+    core::Config config;
+    config.zones = {"a"};
+    config.teams = {{"red", {}, {}}};
+    w.office.install(std::make_unique<core::Controller>(config, 5), steward.revision);
+    auto second = job("job-11");
+    second.tasks = 9;
+    w.office.controller->accept(second, core::WallTime{}, Clock::now());
+    w.office.want_write();
+    ASSERT_TRUE(w.office.recorded.wait_for(lock, 10s,
+                                           [&] { return w.office.controller->durable("job-11"); }));
+    EXPECT_TRUE(w.office.controller->found("job-11"));
+    ASSERT_EQ(w.office.controller->jobs().size(), 1U);
+    EXPECT_EQ(w.office.controller->jobs().begin()->second->spec.tasks, first.spec.tasks);
+    w.office.controller.reset();
+}
+
 TEST(Acceptor, AcceptsTheOthersWhenOneIsCalledMalformed) {
     auto& w = writing();
     w.service.refuse("job/job-6");
@@ -146,7 +225,7 @@
         users.emplace_back([&, id] {
             core::JobRecord record;
             record.spec = job(id);
-            const auto outcome = w.acceptor.accept(std::move(record));
+            const auto outcome = w.acceptor.accept(std::move(record)).outcome;
             const std::lock_guard lock(mutex);
             outcomes[id] = outcome;
         });
