--- a/tests/standin/state_service.cpp
+++ b/tests/standin/state_service.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t most_requests_a_connection = 1'000'000;
 // Leases end at most this late.
 constexpr milliseconds look_every{20};
+constexpr milliseconds longer_than_anybody_waits{1700};
 
 }  // namespace
 
@@ -94,20 +95,15 @@
 void StateService::serve_keys(Front& front) {
     auto& server = front.server;
     server.Get(R"(/kv/(.+))", [this](const auto& request, auto& response) {
-        const std::lock_guard lock(mutex_);
-        expire();
-        const auto it = items_.find(request.matches[1]);
-        if (it == items_.end()) return answer(response, 404, {{"ledger_tick", revision_}});
-        Value out{{"path", it->first}, {"v", it->second.value}, {"stamp", it->second.stamp}};
-        if (it->second.lease != 0) out["loan"] = it->second.lease;
-        answer(response, 200, out);
+        read(request.matches[1], response);
+        read_slowly(request.matches[1]);
     });
     server.Get("/kv", [this](const auto& request, auto& response) { list(request, response); });
     server.Get("/watch", [this, &front](const auto& request, auto& response) {
-        watch(front, request, response);
+        std::this_thread::sleep_for(watch(front, request, response));
     });
     server.Post("/txn", [this, &front](const auto& request, auto& response) {
-        transact(front, request, response);
+        transact_in_time(front, request, response);
     });
 }
 
@@ -180,8 +176,9 @@
     return latest;
 }
 
-void StateService::watch(const Front& front, const httplib::Request& request,
-                         httplib::Response& response) {
+// Returns how long the answer is held up.
+milliseconds StateService::watch(const Front& front, const httplib::Request& request,
+                                 httplib::Response& response) {
     const auto prefix = request.get_param_value("starts");
     const auto since = std::stoull(request.get_param_value("since"));
     const auto wait =
@@ -191,15 +188,20 @@
     std::uint64_t looked = 0;
     for (;;) {
         expire();
-        if (since < forgotten_) return answer(response, 410, {{"ledger_tick", revision_}});
+        if (since < forgotten_) {
+            answer(response, 410, {{"ledger_tick", revision_}});
+            return milliseconds{0};
+        }
         Value events = Value::array();
         const bool refuses = refused(front);
         if (looked != revision_ && !refuses) {
             events = events_since(prefix, since);
             looked = revision_;
         }
-        if (!events.empty() || ending_ || Clock::now() >= until)
-            return answer(response, 200, {{"ledger_tick", revision_}, {"events", events}});
+        if (!events.empty() || ending_ || Clock::now() >= until) {
+            answer(response, 200, {{"ledger_tick", revision_}, {"events", events}});
+            return events.empty() ? milliseconds{0} : slow_watches_.of(prefix);
+        }
         news_.wait_for(lock, look_every);
     }
 }
@@ -259,17 +261,67 @@
     news_.notify_all();
 }
 
-void StateService::transact(Front& front, const httplib::Request& request,
-                            httplib::Response& response) {
+void StateService::read(const std::string& key, httplib::Response& response) {
+    const std::lock_guard lock(mutex_);
+    expire();
+    const auto it = items_.find(key);
+    if (it == items_.end()) return answer(response, 404, {{"ledger_tick", revision_}});
+    Value out{{"path", it->first}, {"v", it->second.value}, {"stamp", it->second.stamp}};
+    if (it->second.lease != 0) out["loan"] = it->second.lease;
+    answer(response, 200, out);
+}
+
+void StateService::read_slowly(const std::string& key) {
     milliseconds late{0};
     {
         const std::lock_guard lock(mutex_);
-        if (!held_.empty()) {
-            late = held_.front();
-            held_.erase(held_.begin());
-        }
+        late = std::max(slow_reads_.of(key), drawn_slowness());
     }
     std::this_thread::sleep_for(late);
+}
+
+// Needs the lock.
+milliseconds StateService::drawn_slowness() {
+    if (std::uniform_real_distribution<>(0, 1)(random_) >= troubles_.slow) return milliseconds{0};
+    return milliseconds(
+        std::uniform_int_distribution<>(0, static_cast<int>(troubles_.slow_most.count()))(random_));
+}
+
+StateService::Fate StateService::fate_of_transaction(const Value& body) {
+    const std::lock_guard lock(mutex_);
+    Fate fate;
+    if (!held_.empty()) {
+        fate.before = held_.front();
+        held_.erase(held_.begin());
+        return fate;
+    }
+    const auto drawn = std::uniform_real_distribution<>(0, 1)(random_);
+    if (drawn < troubles_.late) {
+        std::uniform_int_distribution<> late(static_cast<int>(troubles_.late_least.count()),
+                                             static_cast<int>(troubles_.late_most.count()));
+        fate.before = milliseconds(late(random_));
+        ++troubled_;
+    } else if (drawn < troubles_.late + troubles_.lost) {
+        fate.after = longer_than_anybody_waits;
+        ++troubled_;
+    } else {
+        fate.after = drawn_slowness();
+    }
+    for (const auto& operation : body["apply"])
+        fate.after = std::max(fate.after, slow_puts_.of(operation.value("put", std::string())));
+    return fate;
+}
+
+void StateService::transact_in_time(Front& front, const httplib::Request& request,
+                                    httplib::Response& response) {
+    const auto fate = fate_of_transaction(wire::parse_cbor(request.body).value());
+    std::this_thread::sleep_for(fate.before);
+    transact(front, request, response);
+    std::this_thread::sleep_for(fate.after);
+}
+
+void StateService::transact(Front& front, const httplib::Request& request,
+                            httplib::Response& response) {
     const std::lock_guard lock(mutex_);
     expire();
     const auto body = wire::parse_cbor(request.body);
--- a/tests/standin/state_service.hpp
+++ b/tests/standin/state_service.hpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -37,6 +38,16 @@
     std::uint64_t refused = 0;  // 429
 };
 
+/// What befalls requests to the state service, drawn from a seed.
+struct Troubles {
+    double lost = 0;  // share of transactions carried out at once whose answer is lost
+    double late = 0;  // share of transactions without an answer, carried out only after this long
+    std::chrono::milliseconds late_least{2000};
+    std::chrono::milliseconds late_most{4000};
+    double slow = 0;  // share of reads and transactions carried out at once and answered late
+    std::chrono::milliseconds slow_most{300};
+};
+
 /// How the state service behaves beyond the protocol's least.
 struct StateOptions {
     bool keep_alive = false;
@@ -68,6 +79,28 @@
         const std::lock_guard lock(mutex_);
         refused_ = key;
     }
+    /// What touches keys that begin like this is carried out at once and answered this late:
+    /// transactions that put one, reads of one, watches of them. A time of 0 ends it.
+    void slow_puts(const std::string& prefix, std::chrono::milliseconds time) {
+        const std::lock_guard lock(mutex_);
+        slow_puts_ = {prefix, time};
+    }
+    void slow_reads(const std::string& prefix, std::chrono::milliseconds time) {
+        const std::lock_guard lock(mutex_);
+        slow_reads_ = {prefix, time};
+    }
+    void slow_watches(const std::string& prefix, std::chrono::milliseconds time) {
+        const std::lock_guard lock(mutex_);
+        slow_watches_ = {prefix, time};
+    }
+    /// From now on; without any by default.
+    void trouble(const Troubles& troubles, unsigned seed) {
+        const std::lock_guard lock(mutex_);
+        troubles_ = troubles;
+        random_.seed(seed);
+    }
+    /// So many transactions were carried out unanswered, or late.
+    int troubled() const { return troubled_; }
     /// What was asked for at that port.
     StateCounts counts(std::size_t port) const;
     /// A key's value as it stands; nullopt: there is none.
@@ -96,6 +129,18 @@
         std::thread thread;
         StateCounts counts;  // under mutex_
     };
+    struct Slow {
+        std::string prefix;
+        std::chrono::milliseconds time{0};
+        std::chrono::milliseconds of(const std::string& key) const {
+            return key.starts_with(prefix) ? time : std::chrono::milliseconds{0};
+        }
+    };
+    // What befalls one request: the time before it is carried out, and before it is answered.
+    struct Fate {
+        std::chrono::milliseconds before{0};
+        std::chrono::milliseconds after{0};
+    };
     // A limit that allows bursts of one second's worth.
     struct Bucket {
         double rate = 0;
@@ -113,9 +158,16 @@
     void end(std::uint64_t lease);
     void changed(const std::string& key);
     void list(const httplib::Request& request, httplib::Response& response);
-    void watch(const Front& front, const httplib::Request& request, httplib::Response& response);
+    std::chrono::milliseconds watch(const Front& front, const httplib::Request& request,
+                                    httplib::Response& response);
     wire::Value events_since(const std::string& prefix, std::uint64_t since) const;
+    void read(const std::string& key, httplib::Response& response);
+    void read_slowly(const std::string& key);
+    Fate fate_of_transaction(const wire::Value& body);
+    std::chrono::milliseconds drawn_slowness();
     void transact(Front& front, const httplib::Request& request, httplib::Response& response);
+    void transact_in_time(Front& front, const httplib::Request& request,
+                          httplib::Response& response);
     void apply(const wire::Value& operations);
 
     const StateOptions options_;
@@ -129,6 +181,12 @@
     std::uint64_t forgotten_ = 0;  // the last revision that `changes_` no longer holds
     std::string refused_;
     std::vector<std::chrono::milliseconds> held_;
+    Slow slow_puts_;
+    Slow slow_reads_;
+    Slow slow_watches_;
+    Troubles troubles_;
+    std::mt19937 random_;
+    std::atomic<int> troubled_{0};
     Bucket requests_;
     Bucket writes_;
     std::atomic<bool> ending_{false};
