Formatting of the core, the admission and of tests; dsmf::place in steps

The steps of dsmf::place (RPM table, order of pipelines and of jobs, machines with room) are functions; the order of evaluation is the same.

--- a/src/admission/floors.hpp
+++ b/src/admission/floors.hpp
@@ -4,10 +4,10 @@
 // Priorities and guarantees order the work; where more is asked for than there is, an order alone
 // shuts out whoever comes last, for as long as the others keep coming. A floor bounds that: each
 // class and each team that has work is owed a part of the machines that its work may use. Once the
-// oldest of its waiting jobs has waited for `patience`, those that have go first, oldest first, until
-// the floor is filled; what was started under a floor is not stopped for others, nor, while it
-// starves, what a class or team runs within its floor for other classes or teams. Below that wait,
-// and beyond the floor, the order stays as it is. docs/admission.md has the bound that
+// oldest of its waiting jobs has waited for `patience`, those that have go first, oldest first,
+// until the floor is filled; what was started under a floor is not stopped for others, nor, while
+// it starves, what a class or team runs within its floor for other classes or teams. Below that
+// wait, and beyond the floor, the order stays as it is. docs/admission.md has the bound that
 // follows, and its proof.
 #pragma once
 
@@ -34,9 +34,9 @@
     std::string_view job_class;
     std::string_view team;
     double used = 0;
-    double waiting = 0;                         // what its waiting tasks would take
+    double waiting = 0;                       // what its waiting tasks would take
     std::chrono::duration<double> waited{0};  // without any of it being started
-    bool kept = false;                          // was started under a floor
+    bool kept = false;                        // was started under a floor
 };
 
 // By place in what was given.
--- a/src/admission/sharing.hpp
+++ b/src/admission/sharing.hpp
@@ -21,6 +21,7 @@
 };
 
 // `used`: what each rank has in use. Returns a factor of at least 1 for each pipeline.
-std::vector<double> stretch(const std::vector<Asking>& pipelines, const std::map<int, double>& used);
+std::vector<double> stretch(const std::vector<Asking>& pipelines,
+                            const std::map<int, double>& used);
 
 }  // namespace bendspindle::admission
--- a/src/app/courier.cpp
+++ b/src/app/courier.cpp
@@ -53,9 +53,9 @@
         office_.want_write();
         // A machine that has just been confirmed, or answered under another session, has work; one
         // that was told to stop tasks may have room.
-        const bool stops = std::any_of(
-            call.orders.begin(), call.orders.end(),
-            [](const auto& order) { return order.verb == core::Order::Verb::stop; });
+        const bool stops =
+            std::any_of(call.orders.begin(), call.orders.end(),
+                        [](const auto& order) { return order.verb == core::Order::Verb::stop; });
         if (call.orders.empty() || stops) office_.want_place();
     }
 }
--- a/src/core/dsmf.cpp
+++ b/src/core/dsmf.cpp
@@ -60,8 +60,8 @@
     const auto& machine = machines[m];
     const auto opens = opens_in(machine, job.need);
     if (opens > cycle) return std::nullopt;
-    return Choice{m, std::max(opens, input_arrives(machine, job)) + job.run / machine.speed,
-                  opens, machine.cost};
+    return Choice{m, std::max(opens, input_arrives(machine, job)) + job.run / machine.speed, opens,
+                  machine.cost};
 }
 
 // Machines as they were before a trial changed them.
@@ -102,9 +102,9 @@
         auto& machine = machines[choice.machine];
         if (!zone_allows(job, in_zone, machine.zone) || !spread_allows(job, in_zone, machine.zone))
             continue;
-        if (originals &&
-            std::none_of(originals->begin(), originals->end(),
-                         [&](const auto& kept) { return kept.first == choice.machine; }))
+        if (originals && std::none_of(originals->begin(), originals->end(), [&](const auto& kept) {
+                return kept.first == choice.machine;
+            }))
             originals->push_back({choice.machine, machine});
         take(machine, job);
         ++in_zone[machine.zone];
@@ -142,9 +142,9 @@
     return best;
 }
 
-// Guard against starving by size: a gang of many machines never found all of them free at once while
-// smaller work took each as it opened. Its machines are those that open the earliest, in the zone
-// where the last of them does; they are kept, but for work that ends before.
+// Guard against starving by size: a gang of many machines never found all of them free at once
+// while smaller work took each as it opened. Its machines are those that open the earliest, in the
+// zone where the last of them does; they are kept, but for work that ends before.
 void reserve(const EligibleJob& job, const std::vector<Machine>& machines, Reservations& reserved) {
     std::vector<std::size_t> best;
     Seconds best_until = never;
@@ -184,9 +184,8 @@
         const auto& releases = machines[m].releases;
         out.push_back({machines[m].free, releases.empty() ? never : releases.front().in, m});
     }
-    std::sort(out.begin(), out.end(), [](const Outline& a, const Outline& b) {
-        return a.first_release < b.first_release;
-    });
+    std::sort(out.begin(), out.end(),
+              [](const Outline& a, const Outline& b) { return a.first_release < b.first_release; });
     return out;
 }
 
@@ -267,53 +266,87 @@
     return std::max(opens, input_arrives(machine, job)) + job.run / machine.speed;
 }
 
-Result place(const std::vector<Pipeline>& pipelines, std::vector<Machine>& machines,
-             Seconds cycle) {
-    Result result;
-    std::vector<std::vector<Seconds>> rpm(pipelines.size());
-    result.makespan.assign(pipelines.size(), Seconds{0});
+namespace {
+
+// By pipeline and eligible job.
+using RpmTable = std::vector<std::vector<Seconds>>;
+
+// A pipeline's makespan is the longest RPM among its eligible jobs.
+RpmTable rpm_table(const std::vector<Pipeline>& pipelines, const std::vector<Machine>& machines,
+                   std::vector<Seconds>& makespan) {
+    RpmTable rpm(pipelines.size());
+    makespan.assign(pipelines.size(), Seconds{0});
     const auto outlines = outlines_of(machines);
     const auto speed = fastest(machines);
     for (std::size_t p = 0; p < pipelines.size(); ++p) {
         for (const auto& job : pipelines[p].eligible) {
             rpm[p].push_back(rpm_of(job, machines, outlines, speed));
-            result.makespan[p] = std::max(result.makespan[p], rpm[p].back());
+            makespan[p] = std::max(makespan[p], rpm[p].back());
         }
-        result.makespan[p] *= pipelines[p].stretch;
+        makespan[p] *= pipelines[p].stretch;
     }
+    return rpm;
+}
 
-    result.order.resize(pipelines.size());
-    std::iota(result.order.begin(), result.order.end(), std::size_t{0});
-    std::stable_sort(result.order.begin(), result.order.end(), [&](std::size_t a, std::size_t b) {
+// By rank, then the shortest makespan first.
+std::vector<std::size_t> pipeline_order(const std::vector<Pipeline>& pipelines,
+                                        const std::vector<Seconds>& makespan) {
+    std::vector<std::size_t> order(pipelines.size());
+    std::iota(order.begin(), order.end(), std::size_t{0});
+    std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
         if (pipelines[a].rank != pipelines[b].rank) return pipelines[a].rank < pipelines[b].rank;
-        return result.makespan[a] < result.makespan[b];
+        return makespan[a] < makespan[b];
     });
+    return order;
+}
 
-    // Only machines with some room within the cycle are looked at for binds: on a full day that
-    // is a few of hundreds. What no waiting job is small enough for is no room.
-    Resources least{std::numeric_limits<double>::max(), std::numeric_limits<double>::max(),
-                    std::numeric_limits<double>::max()};
+// A pipeline's jobs, the longest RPM first.
+std::vector<std::size_t> job_order(const std::vector<Seconds>& rpm) {
+    std::vector<std::size_t> jobs(rpm.size());
+    std::iota(jobs.begin(), jobs.end(), std::size_t{0});
+    std::stable_sort(jobs.begin(), jobs.end(),
+                     [&](std::size_t a, std::size_t b) { return rpm[a] > rpm[b]; });
+    return jobs;
+}
+
+// Less than this is no room for any waiting job.
+Resources least_need(const std::vector<Pipeline>& pipelines) {
+    constexpr auto most = std::numeric_limits<double>::max();
+    Resources least{most, most, most};
     for (const auto& pipeline : pipelines)
         for (const auto& job : pipeline.eligible) {
             least.cpus = std::min(least.cpus, job.need.cpus);
             least.gpus = std::min(least.gpus, job.need.gpus);
             least.memory_gb = std::min(least.memory_gb, job.need.memory_gb);
         }
+    return least;
+}
+
+// Only machines with some room within the cycle are looked at for binds: on a full day that is a
+// few of hundreds.
+std::vector<std::size_t> machines_with_room(const std::vector<Machine>& machines,
+                                            const Resources& least, Seconds cycle) {
     std::vector<std::size_t> open;
     for (std::size_t m = 0; m < machines.size(); ++m) {
         const auto& machine = machines[m];
         const bool soon = !machine.releases.empty() && machine.releases.front().in <= cycle;
         if (soon || machine.free.holds(least)) open.push_back(m);
     }
+    return open;
+}
 
+}  // namespace
+
+Result place(const std::vector<Pipeline>& pipelines, std::vector<Machine>& machines,
+             Seconds cycle) {
+    Result result;
+    const auto rpm = rpm_table(pipelines, machines, result.makespan);
+    result.order = pipeline_order(pipelines, result.makespan);
+    const auto open = machines_with_room(machines, least_need(pipelines), cycle);
     Reservations reserved;
     for (const auto p : result.order) {
         const auto& pipeline = pipelines[p];
-        std::vector<std::size_t> jobs(pipeline.eligible.size());
-        std::iota(jobs.begin(), jobs.end(), std::size_t{0});
-        std::stable_sort(jobs.begin(), jobs.end(),
-                         [&](std::size_t a, std::size_t b) { return rpm[p][a] > rpm[p][b]; });
-        for (const auto j : jobs) {
+        for (const auto j : job_order(rpm[p])) {
             const auto& job = pipeline.eligible[j];
             const auto chosen =
                 job.gang ? bind_gang(job, machines, open, cycle, reserved)
@@ -321,8 +354,8 @@
             if (chosen.empty() && job.gang && job.tasks > 0 && pipeline.reserves && !job.spread)
                 reserve(job, machines, reserved);
             for (const auto& choice : chosen)
-                result.binds.push_back(Bind{p, job.job, choice.machine, choice.opens, rpm[p][j],
-                                            result.makespan[p]});
+                result.binds.push_back(
+                    Bind{p, job.job, choice.machine, choice.opens, rpm[p][j], result.makespan[p]});
         }
     }
     for (const auto& [machine, until] : reserved) result.reserved.push_back(machine);
--- a/src/core/dsmf.hpp
+++ b/src/core/dsmf.hpp
@@ -60,9 +60,9 @@
     Resources need;
     ImageId image = 0;
     double image_gb = 0;
-    Seconds run{0};        // expected run time of a task at fleet averages
-    Seconds rest_after{0}; // longest expected path from this job's end to the pipeline's end
-    std::vector<bool> groups;         // allowed groups of machines; empty: all
+    Seconds run{0};            // expected run time of a task at fleet averages
+    Seconds rest_after{0};     // longest expected path from this job's end to the pipeline's end
+    std::vector<bool> groups;  // allowed groups of machines; empty: all
     std::vector<std::size_t> barred;  // machines on which it failed
 
     bool allows(const Machine& machine, std::size_t index) const {
@@ -108,7 +108,6 @@
 Seconds finish_time(const Machine& machine, const EligibleJob& job);
 
 // Orders pipelines and binds their eligible tasks. Only room that opens within `cycle` counts.
-Result place(const std::vector<Pipeline>& pipelines, std::vector<Machine>& machines,
-             Seconds cycle);
+Result place(const std::vector<Pipeline>& pipelines, std::vector<Machine>& machines, Seconds cycle);
 
 }  // namespace bendspindle::core::dsmf
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -71,7 +71,7 @@
     std::vector<ReportedTask> tasks;          // of the last report
     std::map<HeldKey, HeldTask> held;
     Resources strays;                 // of tasks in the last report that are no placement of ours
-    bool strangers = false;  // tasks of jobs that are over or not understood are there
+    bool strangers = false;           // tasks of jobs that are over or not understood are there
     std::vector<CachedImage> images;  // most recently used last
     // Jobs of which a task failed here since a task was last done, with what that says against the
     // machine; 1 of each, less of jobs that fail everywhere.
--- a/src/core/ledger.hpp
+++ b/src/core/ledger.hpp
@@ -44,7 +44,7 @@
     const Config& config_;
     std::map<std::string, Resources> use_;
     Capacity capacity_;
-    std::unordered_set<std::uint64_t> guaranteed_;  // serials
+    std::unordered_set<std::uint64_t> guaranteed_;    // serials
     std::unordered_map<std::uint64_t, int> floored_;  // serial -> rank, the oldest first
     std::unordered_set<std::uint64_t> class_shelters_;
     std::unordered_set<std::uint64_t> team_shelters_;
--- a/src/core/placing.cpp
+++ b/src/core/placing.cpp
@@ -40,9 +40,9 @@
     }
 }
 
-// Guard against a gang that waits for tasks which nobody will start: its controller ended between the
-// starts, and what was found of it held its places until it gave itself up. Once no machine can hold
-// the rest it is begun anew as a whole.
+// Guard against a gang that waits for tasks which nobody will start: its controller ended between
+// the starts, and what was found of it held its places until it gave itself up. Once no machine can
+// hold the rest it is begun anew as a whole.
 void Placing::break_partial_gangs() {
     for (const auto& [serial, job] : pipelines_.all()) {
         if (job->spec.kind != Kind::gang || job->over() || job->accepted_here) continue;
--- a/src/core/preemption.cpp
+++ b/src/core/preemption.cpp
@@ -44,8 +44,8 @@
 }  // namespace
 
 bool Claim::may_stop(const Claim& other) const {
-    // Guard against starving by preemption: what little a class gets under a lasting flood of higher
-    // priority was stopped again before it was done.
+    // Guard against starving by preemption: what little a class gets under a lasting flood of
+    // higher priority was stopped again before it was done.
     if (other.floored) return false;
     if (other.class_shelter && other.job_class != job_class) return false;
     if (other.team_shelter && other.team != team) return false;
@@ -196,8 +196,8 @@
     for (const auto& plan : plans) {
         Seconds longest{0};
         for (const auto& victim : plan.victims)
-            longest = std::max(longest, Pipelines::stop_to_save(
-                                            *victim.job, victim.job->placed.at(victim.index)));
+            longest = std::max(
+                longest, Pipelines::stop_to_save(*victim.job, victim.job->placed.at(victim.index)));
         if (!gang) attempt = pipelines_.next_attempt();
         const auto run = estimates_.expected_run(job);
         Placement placement;
@@ -229,8 +229,8 @@
     for (auto* job : waiting) {
         const auto claim = claim_of(*job, standing);
         if (claim.priority == Priority::low && !claim.guaranteed) continue;
-        // Guard against work that never ends: a mistaken job stopped others at each of its tries, every
-        // half minute for as long as it was open.
+        // Guard against work that never ends: a mistaken job stopped others at each of its tries,
+        // every half minute for as long as it was open.
         if (job->suspect() || job->errors >= most_failed_tries) continue;
         // Guard against wrong_place: plans do not look at how many of the job's tasks a zone has.
         // Only gangs were left out, and an array was put into one zone beyond half of its tasks.
--- a/src/core/preemption.hpp
+++ b/src/core/preemption.hpp
@@ -23,8 +23,8 @@
 struct Claim {
     Priority priority = Priority::low;
     bool guaranteed = false;
-    bool owed = false;  // waits too long already for what its team is guaranteed
-    bool floored = false;  // fills the floor of a class or team that starves
+    bool owed = false;           // waits too long already for what its team is guaranteed
+    bool floored = false;        // fills the floor of a class or team that starves
     bool class_shelter = false;  // runs within its class's floor
     bool team_shelter = false;
     std::string_view team;
@@ -86,8 +86,8 @@
           pipelines_(pipelines),
           estimates_(estimates) {}
 
-    // `waiting` in the order of DSMF: what it could not bind. `reserved`: machines that are kept for
-    // gangs under a floor; only work under a floor makes room there.
+    // `waiting` in the order of DSMF: what it could not bind. `reserved`: machines that are kept
+    // for gangs under a floor; only work under a floor makes room there.
     void make_room(const std::vector<Job*>& waiting, const std::set<const Machine*>& reserved,
                    Standing& standing, TimePoint now);
 
--- a/src/core/renting.cpp
+++ b/src/core/renting.cpp
@@ -116,8 +116,8 @@
 }
 
 // Guard against a job that waits for ever: it had failed on one of the machines it needs, was not
-// placed there again, and since the machine was there none was rented. Of a job that fails everywhere
-// that says nothing.
+// placed there again, and since the machine was there none was rented. Of a job that fails
+// everywhere that says nothing.
 bool Packing::barred(const Bin& bin, const JobSpec& spec) {
     if (!bin.machine || bin.machine->failed_jobs.empty()) return false;
     const auto failed = bin.machine->failed_jobs.find(spec.id);
--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -19,7 +19,9 @@
 inline TimePoint later(TimePoint t, Seconds by) {
     return t + std::chrono::duration_cast<TimePoint::duration>(by);
 }
-inline Seconds between(TimePoint from, TimePoint to) { return Seconds(to - from); }
+inline Seconds between(TimePoint from, TimePoint to) {
+    return Seconds(to - from);
+}
 
 struct Resources {
     double cpus = 0;
@@ -46,8 +48,12 @@
     }
 };
 
-inline Resources operator+(Resources a, const Resources& b) { return a += b; }
-inline Resources operator-(Resources a, const Resources& b) { return a -= b; }
+inline Resources operator+(Resources a, const Resources& b) {
+    return a += b;
+}
+inline Resources operator-(Resources a, const Resources& b) {
+    return a -= b;
+}
 inline Resources operator*(Resources a, double n) {
     return {a.cpus * n, a.gpus * n, a.memory_gb * n};
 }
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -42,8 +42,8 @@
 
 TEST(Floors, NobodyClaimsOneBeforeItsPatienceIsOver) {
     const FloorSettings settings;
-    const auto floored =
-        floors({waiting("a", "t", 0.1, 59), running("b", "t", 1), waiting("b", "t", 1, 30)}, settings);
+    const auto floored = floors(
+        {waiting("a", "t", 0.1, 59), running("b", "t", 1), waiting("b", "t", 1, 30)}, settings);
     EXPECT_EQ(floored.jobs, (std::vector<bool>{false, false, false}));
     EXPECT_TRUE(floored.behind_classes.empty());
 }
@@ -58,9 +58,9 @@
 }
 
 TEST(Floors, WhatRunsCountsTowardsTheFloor) {
-    const auto floored = floors({running("a", "t", 0.3), waiting("a", "t", 0.2, 80),
-                                 running("b", "t", 0.7)},
-                                FloorSettings{});
+    const auto floored =
+        floors({running("a", "t", 0.3), waiting("a", "t", 0.2, 80), running("b", "t", 0.7)},
+               FloorSettings{});
     EXPECT_EQ(floored.jobs, (std::vector<bool>{false, false, false}));
     // While its class starves, that is not stopped for other classes.
     EXPECT_EQ(floored.class_shelters, (std::vector<bool>{true, false, false}));
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -75,12 +75,24 @@
 TEST(Codec, MalformedJobsNameTheField) {
     const auto good = *parse_cbor(job_body(sample_spec()));
     const std::vector<std::pair<const char*, Value>> wrong{
-        {"uid", "nonsense"},   {"uid", 7},         {"uid", "job-a/b"}, {"lane", nullptr},
-        {"shape", "circle"},   {"urgency", "now"}, {"pieces", 0},      {"pieces", -1},
-        {"pieces", 100'001},   {"pieces", "many"}, {"cores", -1.0},    {"cores", "1"},
+        {"uid", "nonsense"},
+        {"uid", 7},
+        {"uid", "job-a/b"},
+        {"lane", nullptr},
+        {"shape", "circle"},
+        {"urgency", "now"},
+        {"pieces", 0},
+        {"pieces", -1},
+        {"pieces", 100'001},
+        {"pieces", "many"},
+        {"cores", -1.0},
+        {"cores", "1"},
         {"ram_gb", std::numeric_limits<double>::infinity()},
         {"expect_s", std::numeric_limits<double>::quiet_NaN()},
-        {"builds", "g8"},      {"builds", {1}},    {"together", 1},    {"due_s", "soon"}};
+        {"builds", "g8"},
+        {"builds", {1}},
+        {"together", 1},
+        {"due_s", "soon"}};
     for (const auto& [field, value] : wrong) {
         auto m = good;
         m[field] = value;
@@ -204,7 +216,9 @@
 }
 
 TEST(Peer, AWordIsPackedAndUnpacked) {
-    const peer::Word word{std::chrono::milliseconds(1500), std::chrono::milliseconds(70'000), true,
+    const peer::Word word{std::chrono::milliseconds(1500),
+                          std::chrono::milliseconds(70'000),
+                          true,
                           {"job-1", "job-22"}};
     const auto back = peer::parse_word(peer::pack(word));
     ASSERT_TRUE(back);
--- a/tests/layout_test.cpp
+++ b/tests/layout_test.cpp
@@ -13,8 +13,7 @@
     return out.str();
 }
 
-void expect_without(const std::filesystem::path& directory,
-                    const std::vector<std::string>& words) {
+void expect_without(const std::filesystem::path& directory, const std::vector<std::string>& words) {
     for (const auto& entry : std::filesystem::directory_iterator(directory))
         for (const auto& word : words)
             EXPECT_EQ(text_of(entry.path()).find(word), std::string::npos)
--- a/tests/peer_link_test.cpp
+++ b/tests/peer_link_test.cpp
@@ -1,4 +1,6 @@
 // The server side of the links between controllers, against siblings that speak otherwise.
+#include "io/peer_link.hpp"
+
 #include <arpa/inet.h>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
@@ -8,8 +10,6 @@
 #include <atomic>
 #include <thread>
 
-#include "io/peer_link.hpp"
-
 namespace bendspindle {
 namespace {
 
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -39,9 +39,8 @@
         if (entry.path().extension() == ".scn") files.push_back(entry.path());
     std::sort(files.begin(), files.end());
     for (const auto& file : files)
-        testing::RegisterTest("scenarios", file.stem().string().c_str(), nullptr, nullptr,
-                              __FILE__, __LINE__,
-                              [file]() -> testing::Test* { return new Scenario(file); });
+        testing::RegisterTest("scenarios", file.stem().string().c_str(), nullptr, nullptr, __FILE__,
+                              __LINE__, [file]() -> testing::Test* { return new Scenario(file); });
     if (files.empty()) return 1;
     return RUN_ALL_TESTS();
 }
--- a/tests/successor_test.cpp
+++ b/tests/successor_test.cpp
@@ -54,9 +54,8 @@
         return out;
     }
     static std::size_t stops(const std::vector<Order>& orders) {
-        return static_cast<std::size_t>(
-            std::count(orders.begin(), orders.end(),
-                       Order{Order::Verb::stop, "job-1", 0, 5, Seconds{0}}));
+        return static_cast<std::size_t>(std::count(
+            orders.begin(), orders.end(), Order{Order::Verb::stop, "job-1", 0, 5, Seconds{0}}));
     }
 
     Controller controller_;
