Waiting for a socket and reading a body's map are written once

Change: io::wait_for (io/poll), parse_fields (wire/fields); receive_all without a repeated branch.

Conclusion: nothing is read, written or sent differently.

--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -12,6 +12,8 @@
 #include <cstring>
 #include <thread>
 
+#include "io/poll.hpp"
+
 namespace bendspindle::io {
 
 namespace {
@@ -29,7 +31,7 @@
     ConnectionStream(int fd, std::chrono::milliseconds timeout) : fd_(fd), timeout_(timeout) {}
 
     bool wait_for_request(std::chrono::milliseconds timeout) {
-        return begin_ < end_ || wait(POLLIN, timeout);
+        return begin_ < end_ || wait_for(fd_, POLLIN, timeout);
     }
     bool flush() {
         std::size_t sent = 0;
@@ -40,7 +42,7 @@
             } else if (n < 0 && errno == EINTR) {
                 continue;
             } else if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
-                if (!wait(POLLOUT, timeout_)) return false;
+                if (!wait_for(fd_, POLLOUT, timeout_)) return false;
             } else {
                 return false;
             }
@@ -49,7 +51,7 @@
         return true;
     }
 
-    bool is_readable() const override { return begin_ < end_ || wait(POLLIN, timeout_); }
+    bool is_readable() const override { return begin_ < end_ || wait_for(fd_, POLLIN, timeout_); }
     bool is_writable() const override { return true; }
     ssize_t read(char* ptr, size_t size) override {
         if (begin_ == end_) {
@@ -65,7 +67,7 @@
                 if (n == 0) return 0;
                 if (errno == EINTR) continue;
                 if (errno != EAGAIN && errno != EWOULDBLOCK) return -1;
-                if (!wait(POLLIN, timeout_)) return -1;
+                if (!wait_for(fd_, POLLIN, timeout_)) return -1;
             }
         }
         const auto n = std::min(size, end_ - begin_);
@@ -88,15 +90,6 @@
     socket_t socket() const override { return fd_; }
 
   private:
-    bool wait(short what, std::chrono::milliseconds timeout) const {
-        pollfd p{fd_, what, 0};
-        int n = 0;
-        do {
-            n = ::poll(&p, 1, static_cast<int>(timeout.count()));
-        } while (n < 0 && errno == EINTR);
-        return n > 0;
-    }
-
     int fd_;
     std::chrono::milliseconds timeout_;
     std::array<char, 4096> in_{};
@@ -125,7 +118,7 @@
     // stood still took all of them, and it reached neither the state service nor a worker.
     if (turn_away) {
         turning_away_ = true;
-        fn();
+        fn();  // NOLINT(bugprone-use-after-move): moved only when it was queued
         turning_away_ = false;
         return;
     }
--- a/src/io/peer_link.cpp
+++ b/src/io/peer_link.cpp
@@ -11,6 +11,8 @@
 #include <cerrno>
 #include <thread>
 
+#include "io/poll.hpp"
+
 namespace bendspindle::io {
 
 namespace {
@@ -22,26 +24,17 @@
 constexpr int accept_queue = 64;
 constexpr std::size_t most_idle = 8;
 
-bool wait(int fd, short what, milliseconds limit) {
-    pollfd p{fd, what, 0};
-    int n = 0;
-    do {
-        n = ::poll(&p, 1, static_cast<int>(limit.count()));
-    } while (n < 0 && errno == EINTR);
-    return n > 0;
-}
-
 bool send_all(int fd, const std::string& bytes, milliseconds limit) {
     std::size_t sent = 0;
     while (sent < bytes.size()) {
-        const auto n = ::send(fd, bytes.data() + sent, bytes.size() - sent,
-                              MSG_NOSIGNAL | MSG_DONTWAIT);
+        const auto n =
+            ::send(fd, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
         if (n > 0) {
             sent += static_cast<std::size_t>(n);
         } else if (n < 0 && errno == EINTR) {
             continue;
         } else if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
-            if (!wait(fd, POLLOUT, limit)) return false;
+            if (!wait_for(fd, POLLOUT, limit)) return false;
         } else {
             return false;
         }
@@ -56,15 +49,12 @@
         const auto n = ::recv(fd, out.data() + got, size - got, MSG_DONTWAIT);
         if (n > 0) {
             got += static_cast<std::size_t>(n);
-        } else if (n == 0) {
-            return false;
-        } else if (errno == EINTR) {
             continue;
-        } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
-            if (!wait(fd, POLLIN, limit)) return false;
-        } else {
-            return false;
         }
+        if (n == 0) return false;
+        if (errno == EINTR) continue;
+        if (errno != EAGAIN && errno != EWOULDBLOCK) return false;
+        if (!wait_for(fd, POLLIN, limit)) return false;
     }
     return true;
 }
@@ -90,7 +80,7 @@
     // The casts are how the sockets interface passes addresses.
     const auto* raw = reinterpret_cast<const sockaddr*>(&*address);
     if (::connect(socket.fd(), raw, sizeof *address) != 0) {
-        if (errno != EINPROGRESS || !wait(socket.fd(), POLLOUT, connect_limit)) return Socket{};
+        if (errno != EINPROGRESS || !wait_for(socket.fd(), POLLOUT, connect_limit)) return Socket{};
         int error = 0;
         socklen_t size = sizeof error;
         if (::getsockopt(socket.fd(), SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0)
@@ -136,7 +126,7 @@
     }
     // A kept connection may have died unseen with the sibling; what shows that at once is
     // dropped here and a new one made.
-    if (socket && wait(socket.fd(), POLLIN, milliseconds{0})) socket = Socket{};
+    if (socket && wait_for(socket.fd(), POLLIN, milliseconds{0})) socket = Socket{};
     if (!socket) socket = connect_to(endpoint_);
     if (!socket) return std::nullopt;
     auto answer = exchange(socket, wire::peer::pack(request));
@@ -192,7 +182,7 @@
 void PeerServer::serve(Socket socket) {
     constexpr milliseconds message_limit{2000};
     std::string bytes;
-    while (wait(socket.fd(), POLLIN, idle_limit)) {
+    while (wait_for(socket.fd(), POLLIN, idle_limit)) {
         if (!receive_all(socket.fd(), bytes, wire::peer::header_size, message_limit)) return;
         const auto [header, error] = wire::peer::parse_header(bytes);
         if (error != wire::peer::HeaderError::none) {
--- a/src/wire/cloud.cpp
+++ b/src/wire/cloud.cpp
@@ -49,10 +49,9 @@
 }  // namespace path
 
 std::optional<std::vector<core::MachineType>> parse_catalog(std::string_view body) {
-    return if_well_formed([&] {
-        const auto map = parse_map(body);
+    return parse_fields(body, [](const Fields& fields) {
         std::vector<core::MachineType> types;
-        for (const auto& type : Fields(map).maps("builds")) types.push_back(read_type(type));
+        for (const auto& type : fields.maps("builds")) types.push_back(read_type(type));
         return types;
     });
 }
@@ -66,10 +65,7 @@
 }
 
 std::optional<std::vector<std::string>> parse_rented(std::string_view body) {
-    return if_well_formed([&] {
-        const auto map = parse_map(body);
-        return Fields(map).texts("spindles");
-    });
+    return parse_fields(body, [](const Fields& fields) { return fields.texts("spindles"); });
 }
 
 std::string release_body(const std::vector<std::string>& names) {
@@ -77,9 +73,7 @@
 }
 
 std::optional<MachineList> parse_list(std::string_view body) {
-    return if_well_formed([&] {
-        const auto map = parse_map(body);
-        const Fields fields(map);
+    return parse_fields(body, [](const Fields& fields) {
         MachineList list;
         for (const auto& machine : fields.maps("spindles"))
             list.machines.push_back(read_machine(machine));
--- a/src/wire/fields.hpp
+++ b/src/wire/fields.hpp
@@ -79,4 +79,13 @@
     }
 }
 
+// What `read` makes of the fields of the body's map, or nullopt if anything is malformed.
+template <typename Read>
+auto parse_fields(std::string_view body, Read&& read) {
+    return if_well_formed([&] {
+        const auto map = parse_map(body);
+        return read(Fields(map));
+    });
+}
+
 }  // namespace bendspindle::wire
--- a/src/wire/state_service.cpp
+++ b/src/wire/state_service.cpp
@@ -43,9 +43,7 @@
 }  // namespace
 
 std::optional<Entry> parse_entry(std::string_view body) {
-    return if_well_formed([&] {
-        const auto map = parse_map(body);
-        const Fields fields(map);
+    return parse_fields(body, [](const Fields& fields) {
         auto entry = read_entry(fields, "path");
         if (fields.has("loan")) entry.lease = fields.count("loan");
         return entry;
@@ -53,9 +51,7 @@
 }
 
 std::optional<Entries> parse_entries(std::string_view body) {
-    return if_well_formed([&] {
-        const auto map = parse_map(body);
-        const Fields fields(map);
+    return parse_fields(body, [](const Fields& fields) {
         Entries out;
         for (const auto& pair : fields.maps("pairs"))
             out.entries.push_back(read_entry(pair, "path"));
@@ -66,9 +62,7 @@
 }
 
 std::optional<Entries> parse_events(std::string_view body) {
-    return if_well_formed([&] {
-        const auto map = parse_map(body);
-        const Fields fields(map);
+    return parse_fields(body, [](const Fields& fields) {
         Entries out;
         for (const auto& event : fields.maps("events"))
             if (event.contains("put")) out.entries.push_back(read_entry(event, "put"));
@@ -96,9 +90,7 @@
 }
 
 std::optional<TxnAnswer> parse_txn(std::string_view body) {
-    return if_well_formed([&] {
-        const auto map = parse_map(body);
-        const Fields fields(map);
+    return parse_fields(body, [](const Fields& fields) {
         TxnAnswer out;
         out.revision = fields.count("ledger_tick");
         if (fields.has("failed")) out.failed = fields.texts("failed");
@@ -111,10 +103,7 @@
 }
 
 std::optional<std::uint64_t> parse_lease(std::string_view body) {
-    return if_well_formed([&] {
-        const auto map = parse_map(body);
-        return Fields(map).count("loan");
-    });
+    return parse_fields(body, [](const Fields& fields) { return fields.count("loan"); });
 }
 
 }  // namespace bendspindle::wire
--- a/src/wire/workers.cpp
+++ b/src/wire/workers.cpp
@@ -64,8 +64,7 @@
     return map;
 }
 
-core::Report read_report(const Value& map) {
-    const Fields fields(map);
+core::Report read_report(const Fields& fields) {
     core::Report report;
     report.machine = fields.text("spindle");
     if (report.machine.empty() || report.machine.find_first_of(" /") != std::string::npos)
@@ -97,7 +96,7 @@
 }  // namespace
 
 std::optional<core::Report> parse_report(std::string_view body) {
-    return if_well_formed([&] { return read_report(parse_map(body)); });
+    return parse_fields(body, read_report);
 }
 
 std::string report_body(const core::Report& report) {
