--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -24,6 +24,7 @@
     spdlog::set_default_logger(spdlog::stderr_logger_mt("bendspindle"));
     spdlog::set_pattern("%H:%M:%S.%e %l %v");
     std::string level = own.log_level;
+    // NOLINTNEXTLINE(concurrency-mt-unsafe): no other thread has been started yet
     if (const char* wanted = std::getenv("LOG_LEVEL"); wanted && *wanted) level = wanted;
     spdlog::set_level(level == "error"   ? spdlog::level::err
                       : level == "debug" ? spdlog::level::debug
@@ -47,7 +48,7 @@
 
 // Many threads in little memory: small stacks, and few arenas for the allocator.
 void fit_small_machines(const app::OperatorSettings& own) {
-    ::mallopt(M_ARENA_MAX, 2);
+    ::mallopt(M_ARENA_MAX, 2);  // NOLINT(concurrency-mt-unsafe): no other thread yet
     // Guard against ending at once: a stack must also hold the thread's own storage, which a
     // checker for threads makes larger than a small stack; then no thread could be started.
     constexpr std::size_t doublings = 6;
@@ -67,10 +68,7 @@
     return service.run() ? 0 : 1;
 }
 
-}  // namespace
-
-int main(int argc, char** argv) {
-    std::signal(SIGPIPE, SIG_IGN);
+int run(int argc, char** argv) {
     CLI::App cli{"bendspindle, a cluster scheduler"};
     cli.set_version_flag("--version", BENDSPINDLE_VERSION);
     cli.require_subcommand(1);
@@ -101,18 +99,26 @@
         const int code = cli.exit(e);
         return code == 0 ? 0 : bad_settings;
     }
+    if (*serve_verb) return serve(config, operator_file, admission_file);
+    if (*check_verb) {
+        const auto settings = app::load_settings(config);
+        app::load_operator_settings(operator_file);
+        app::load_admission(admission_file, settings);
+        std::cout << "settings are good\n";
+        return 0;
+    }
+    if (*submit_verb) return app::submit_file(endpoint, argument);
+    if (*status_verb) return app::show_status(endpoint, argument);
+    return app::cancel_job(endpoint, argument);
+}
+
+}  // namespace
+
+// NOLINTNEXTLINE(bugprone-exception-escape): only printing the reason could still throw
+int main(int argc, char** argv) {
+    std::signal(SIGPIPE, SIG_IGN);
     try {
-        if (*serve_verb) return serve(config, operator_file, admission_file);
-        if (*check_verb) {
-            const auto settings = app::load_settings(config);
-            app::load_operator_settings(operator_file);
-            app::load_admission(admission_file, settings);
-            std::cout << "settings are good\n";
-            return 0;
-        }
-        if (*submit_verb) return app::submit_file(endpoint, argument);
-        if (*status_verb) return app::show_status(endpoint, argument);
-        return app::cancel_job(endpoint, argument);
+        return run(argc, argv);
     } catch (const app::SettingsError& e) {
         std::cerr << "bendspindle: " << e.what() << "\n";
         return bad_settings;
--- a/src/app/renewals.cpp
+++ b/src/app/renewals.cpp
@@ -20,6 +20,7 @@
 std::optional<TimePoint> reached_by(const std::map<std::string, TimePoint>& times,
                                     std::size_t number) {
     std::vector<TimePoint> sorted;
+    sorted.reserve(times.size());
     for (const auto& [name, time] : times) sorted.push_back(time);
     if (number == 0 || sorted.size() < number) return std::nullopt;
     std::sort(sorted.begin(), sorted.end(), std::greater<>());
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -173,7 +173,8 @@
             good = good && word->ty == SEXP_VALUE;
             if (good) words.emplace_back(word->val);
         }
-        if (!good || !take(words)) throw SettingsError(file + ": an entry is not " + shape);
+        if (!good || !take(words))
+            throw SettingsError(std::string(file).append(": an entry is not ").append(shape));
     }
 }
 
