--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -75,7 +75,7 @@
     bool strangers = false;  // tasks of jobs that are over or not understood are there
     std::optional<TimePoint> strangers_since;  // tasks of jobs that are over
     TimePoint strangers_told{};                // when stops for them last went out by direct call
-    std::vector<CachedImage> images;  // most recently used last
+    std::vector<CachedImage> images;           // most recently used last
     // Jobs of which a task failed here since a task was last done, with what that says against the
     // machine; 1 of each, less of jobs that fail everywhere.
     std::map<std::string, double> failed_jobs;
