--- a/tests/day_generator_test.py
+++ b/tests/day_generator_test.py
@@ -67,6 +67,7 @@
         self.at = pathlib.Path(folder.name)
         self.site_file = self.at / "mill-hunt.toml"
         self.site_file.write_text(SITE)
+        (self.at / "wire.json").write_text("{}")
         self.site = day_generator.read_site(self.site_file)
         self.environment = {**os.environ, "BENDSPINDLE_KIT": str(self.at)}
         self.environment.pop("BENDSPINDLE_BENCH", None)
@@ -368,7 +369,7 @@
             self.assertIn(said, text)
             self.assertIn("2 plays, 1 broke something", text)
             names = {path.name for path in kept.iterdir()}
-            self.assertLessEqual({"mill-hunt.toml", "mill-hunt.outage-2.day.toml",
+            self.assertLessEqual({"mill-hunt.toml", "wire.json", "mill-hunt.outage-2.day.toml",
                                   "mill-hunt.outage-2.log"}, names)
             self.assertFalse(any("outage-1" in name for name in names))
             self.assertEqual("mill-hunt.outage-2.json" in names, written is not None)
