--- a/tests/standin/world.cpp
+++ b/tests/standin/world.cpp
@@ -181,13 +181,14 @@
         return;
     }
     if (finals_.contains(change.id)) {
-        if (change.what == What::finish_job)
-            controller_->written({change}, revision_, at());
-        else
-            controller_->withdraw(change.id);
+        controller_->over_by_record(change.id, finals_.at(change.id), at());
         return;
     }
     const auto it = jobs_.find(change.id);
+    if (change.what == What::put_job && it != jobs_.end() && it->second.first.home.empty()) {
+        controller_->found_elsewhere(it->second.first, it->second.second, at());
+        return;
+    }
     controller_->restamp(change.what, change.id, it == jobs_.end() ? 0 : it->second.second);
 }
 
