--- a/tests/recorder_test.cpp
+++ b/tests/recorder_test.cpp
@@ -7,6 +7,7 @@
 #include <thread>
 
 #include "app/acceptor.hpp"
+#include "wire/records.hpp"
 #include "standin/services.hpp"
 
 namespace bendspindle::app {
--- a/tests/standin/terms_world.cpp
+++ b/tests/standin/terms_world.cpp
@@ -7,6 +7,8 @@
 #include <stdexcept>
 
 #include "app/recorder.hpp"
+#include "wire/records.hpp"
+#include "wire/workers.hpp"
 
 namespace bendspindle::standin {
 
@@ -317,21 +319,15 @@
             const auto record = store.get(key);
             if (record.outcome != Outcome::ok && record.outcome != Outcome::absent) return;
             std::optional<core::Final> final;
-            std::uint64_t final_stamp = 0;
             if (job) {
                 const auto over = store.get(app::keys::over(change.id));
                 if (over.outcome != Outcome::ok && over.outcome != Outcome::absent) return;
-                if (over.outcome == Outcome::ok) {
-                    final = wire::parse_final(over.entry.value);
-                    final_stamp = over.entry.stamp;
-                }
+                if (over.outcome == Outcome::ok) final = wire::parse_final(over.entry.value);
             }
             if (final) finals.put(change.id, *final);
             if (!same(epoch)) return;
-            if (final && change.what == What::finish_job)
-                office.controller->written({change}, final_stamp, timeline_.now());
-            else if (final)
-                office.controller->withdraw(change.id);
+            if (final)
+                office.controller->over_by_record(change.id, *final, timeline_.now());
             else
                 office.controller->restamp(change.what, change.id,
                                            record.outcome == Outcome::ok ? record.entry.stamp : 0);
--- a/tests/terms_test.cpp
+++ b/tests/terms_test.cpp
@@ -11,6 +11,7 @@
 #include <iostream>
 
 #include "standin/terms_world.hpp"
+#include "wire/workers.hpp"
 
 namespace bendspindle {
 namespace {
@@ -331,6 +332,7 @@
 };
 
 using Jobs = std::vector<std::string>;
+using JobSet = std::set<std::string>;
 
 // Guard against ran_cancelled: leader after leader renewed the lease by its first answer, which
 // held no stops because the machine had not shown the token yet.
@@ -376,11 +378,11 @@
     EXPECT_FALSE(app::cancelled_jobs(*controller).complete);
     controller->report(report(1, 3), start);
     EXPECT_TRUE(app::cancelled_jobs(*controller).complete);
-    EXPECT_EQ(app::cancelled_jobs(*controller).jobs, Jobs{"job-100001"});
+    EXPECT_EQ(app::cancelled_jobs(*controller).jobs, JobSet{"job-100001"});
     auto without = report(2, 3);
     without.tasks.erase(without.tasks.begin());
     controller->report(without, start);
-    EXPECT_EQ(app::cancelled_jobs(*controller).jobs, Jobs{});
+    EXPECT_EQ(app::cancelled_jobs(*controller).jobs, JobSet{});
 }
 
 // Before its records are loaded it renews no longer than a follower may, with the same stops.
--- a/tests/told_states_test.cpp
+++ b/tests/told_states_test.cpp
@@ -11,6 +11,7 @@
 #include "standin/controllers.hpp"
 #include "standin/history.hpp"
 #include "standin/services.hpp"
+#include "wire/users.hpp"
 
 namespace bendspindle {
 namespace {
