--- a/tests/days_test.cpp
+++ b/tests/days_test.cpp
@@ -114,7 +114,9 @@
 
     void fail(int second) {
         // Only machines of the start are picked: they exist until they are released.
-        const auto machine = [&] { return std::string("m").append(std::to_string(draw_.below(day_.machines))); };
+        const auto machine = [&] {
+            return std::string("m").append(std::to_string(draw_.below(day_.machines)));
+        };
         const auto hit = [&](const std::string& verb) { try_say(verb + " " + machine()); };
         if (draw_.once_in(9)) hit("kill");
         if (draw_.once_in(11)) hit("hang");
--- a/tests/drawn_test.cpp
+++ b/tests/drawn_test.cpp
@@ -1,9 +1,9 @@
 // Schedules of troubles drawn from a seed, played in the scenario world with the rules checked at
 // every step: machines that do not hear, hang, are cut off, die or get their notice; late copies of
-// reports and calls; lost and slow answers; a controller that ends, stands still, or goes on behind a
-// cut with some of the workers; outages; mistaken jobs and cancellations. Once all troubles are over
-// every accepted job must be known, and those that can be done must be done. A schedule that fails is
-// cut down to a few lines, which are a scenario.
+// reports and calls; lost and slow answers; a controller that ends, stands still, or goes on behind
+// a cut with some of the workers; outages; mistaken jobs and cancellations. Once all troubles are
+// over every accepted job must be known, and those that can be done must be done. A schedule that
+// fails is cut down to a few lines, which are a scenario.
 //
 // BENDSPINDLE_DRAWN=FIRST,COUNT plays other seeds than those of every day.
 #include <gtest/gtest.h>
@@ -67,28 +67,43 @@
     const auto machine = [&] { return "m" + std::to_string(draw.below(machines)); };
     for (int i = 0; i < machines; ++i)
         out.push_back("machine m" + std::to_string(i) + " g8 " + (i % 2 ? "a" : "b") +
-                      (i % 4 == 3 ? " spot=yes" : "") +
-                      (draw.below(20) == 0 ? " faulty=yes" : ""));
+                      (i % 4 == 3 ? " spot=yes" : "") + (draw.below(20) == 0 ? " faulty=yes" : ""));
     int jobs = 0;
     bool split = false;
     bool down = false;
     const auto trouble = [&]() -> std::string {
         switch (draw.below(18)) {
-            case 0: return "deafen " + machine();
-            case 1: return "undeafen " + machine();
-            case 2: return "cut " + machine();
-            case 3: return "heal " + machine();
-            case 4: return "hang " + machine();
-            case 5: return "resume " + machine();
-            case 6: return "kill " + machine();
-            case 7: return "notice " + machine() + " " + std::to_string(4 + draw.below(12));
-            case 8: case 9: return "hold-report " + machine();
-            case 10: return "deliver-held";
-            case 11: return "hold-calls " + machine();
-            case 12: return "deliver-calls";
-            case 13: return "slow-answer " + machine();
-            case 14: return "lose-answer " + machine();
-            case 15: return "stand-still " + std::to_string(1 + draw.below(20));
+            case 0:
+                return "deafen " + machine();
+            case 1:
+                return "undeafen " + machine();
+            case 2:
+                return "cut " + machine();
+            case 3:
+                return "heal " + machine();
+            case 4:
+                return "hang " + machine();
+            case 5:
+                return "resume " + machine();
+            case 6:
+                return "kill " + machine();
+            case 7:
+                return "notice " + machine() + " " + std::to_string(4 + draw.below(12));
+            case 8:
+            case 9:
+                return "hold-report " + machine();
+            case 10:
+                return "deliver-held";
+            case 11:
+                return "hold-calls " + machine();
+            case 12:
+                return "deliver-calls";
+            case 13:
+                return "slow-answer " + machine();
+            case 14:
+                return "lose-answer " + machine();
+            case 15:
+                return "stand-still " + std::to_string(1 + draw.below(20));
             case 16:
                 if (split) {
                     split = false;
--- a/tests/recorder_test.cpp
+++ b/tests/recorder_test.cpp
@@ -7,8 +7,8 @@
 #include <thread>
 
 #include "app/acceptor.hpp"
-#include "wire/records.hpp"
 #include "standin/services.hpp"
+#include "wire/records.hpp"
 
 namespace bendspindle::app {
 namespace {
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -387,7 +387,7 @@
         auto settings = json::parse(small_text());
         settings["first_port"] = first_port_;
         change(settings);
-        const auto path = (directory_ / "settings.json").string();
+        auto path = (directory_ / "settings.json").string();
         std::ofstream(path) << settings.dump();
         return path;
     }
--- a/tests/standin/terms_world.cpp
+++ b/tests/standin/terms_world.cpp
@@ -496,7 +496,7 @@
     timeline_.at(timeline_.time_of(std::stod(words.at(0))), [this, words] { play(words); });
 }
 
-void TermsWorld::for_a_while(double seconds, std::function<void()> begin,
+void TermsWorld::for_a_while(double seconds, const std::function<void()>& begin,
                              std::function<void()> end) {
     begin();
     timeline_.after(Seconds(seconds), std::move(end));
@@ -587,9 +587,11 @@
     } else if (verb == "copies") {
         share(1, [&](Machine& machine) {
             const auto body = wire::report_body(machine.last_report);
-            for (const auto& [name, node] : live_)
+            for (const auto& entry : live_) {
+                const auto node = entry.second;
                 timeline_.spawn(node->life,
                                 [node, body] { node->desk.report(body, app::From::outside); });
+            }
         });
     } else {
         throw std::runtime_error("unknown trouble " + verb);
@@ -860,7 +862,7 @@
             });
         });
     });
-    timeline_.after(Seconds(user_patience), [=, this] {
+    timeline_.after(Seconds(user_patience), [=] {
         if (!std::exchange(*settled, true)) again(0.1);
     });
 }
--- a/tests/standin/terms_world.hpp
+++ b/tests/standin/terms_world.hpp
@@ -109,7 +109,7 @@
     std::string who(const std::string& word);
     std::shared_ptr<TermsNode> live(const std::string& name) const;
     void play(const Words& words);
-    void for_a_while(double seconds, std::function<void()> begin, std::function<void()> end);
+    void for_a_while(double seconds, const std::function<void()>& begin, std::function<void()> end);
 
     std::optional<wire::peer::Answer> call_peer(const std::string& from, const std::string& to,
                                                 const wire::peer::Request& request);
--- a/tests/standin/timeline.cpp
+++ b/tests/standin/timeline.cpp
@@ -61,6 +61,8 @@
     }
     // Bodies one after the other on the same stack.
     static void loop(unsigned high, unsigned low) {
+        // makecontext passes integers only.
+        // NOLINTNEXTLINE(performance-no-int-to-ptr): the address was split by the caller
         auto* flow = reinterpret_cast<Flow*>(static_cast<std::uintptr_t>(high) << 32 | low);
         flow->entered();
         for (;;) {
--- a/tests/standin/world.cpp
+++ b/tests/standin/world.cpp
@@ -120,8 +120,7 @@
         const bool holds = conditions_hold(transaction);
         if (holds) {
             ++revision_;
-            for (const auto& change : transaction.changes)
-                carry_out(change, revision_);
+            for (const auto& change : transaction.changes) carry_out(change, revision_);
         } else {
             ++refused_writes_;
         }
--- a/tests/terms_test.cpp
+++ b/tests/terms_test.cpp
@@ -62,7 +62,7 @@
 }
 
 Played expect_kept(const TermsSetting& setting, const Lines& lines, bool cut = true) {
-    const auto out = play(setting, lines, std::getenv("BENDSPINDLE_TERMS_TRACE") != nullptr);
+    auto out = play(setting, lines, std::getenv("BENDSPINDLE_TERMS_TRACE") != nullptr);
     if (out.broken.empty()) return out;
     if (!cut) {
         ADD_FAILURE() << "seed " << setting.seed << text_of(out.broken);
--- a/tests/told_states_test.cpp
+++ b/tests/told_states_test.cpp
@@ -121,8 +121,8 @@
         answer.end = Clock::now();
         if (!result) return {};
         const auto body = wire::parse_cbor(result->body);
-        const Reply reply{result->status,
-                          body && body->is_object() ? body->value("stage", "") : std::string()};
+        Reply reply{result->status,
+                    body && body->is_object() ? body->value("stage", "") : std::string()};
         answer.told = told_by(reply);
         history_.add(answer);
         return reply;
@@ -192,7 +192,8 @@
     ASSERT_EQ(submit(0, "job-000001", core::Kind::service).status, 201);
     state_.slow_puts("over/job-000001", 1400ms);
     auto cancelled = std::async(std::launch::async, [&] { return cancel(0, "job-000001"); });
-    ASSERT_TRUE(soon([&] { return state_.value("over/job-000001").value_or(Value{}).is_object(); }));
+    ASSERT_TRUE(
+        soon([&] { return state_.value("over/job-000001").value_or(Value{}).is_object(); }));
     for (int i = 0; i < 3; ++i) EXPECT_EQ(ask(i, "job-000001").stage, "aborted") << i;
     for (int i = 0; i < 3; ++i)
         EXPECT_EQ(submit(i, "job-000001", core::Kind::service).stage, "aborted") << i;
