--- a/src/app/reply.hpp
+++ b/src/app/reply.hpp
@@ -3,6 +3,8 @@
 
 #include <string>
 
+#include "wire/users.hpp"
+
 namespace bendspindle::app {
 
 struct Reply {
@@ -11,4 +13,9 @@
     std::string body;
 };
 
+// Not now: the same may be asked again after so many seconds, or of another controller.
+inline Reply busy(const std::string& why, int retry_after = 1) {
+    return {503, retry_after, wire::error_body(why)};
+}
+
 }  // namespace bendspindle::app
--- a/src/app/report_desk.cpp
+++ b/src/app/report_desk.cpp
@@ -11,10 +11,6 @@
 
 namespace {
 
-Reply busy(const std::string& why) {
-    return {503, 1, wire::error_body(why)};
-}
-
 const char* name_of(core::Order::Verb verb) {
     switch (verb) {
         case core::Order::Verb::start:
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -40,10 +40,6 @@
 constexpr milliseconds stop_step{20};
 constexpr milliseconds longest_stop{3000};
 
-Reply busy(const std::string& why, int retry_after = 1) {
-    return {503, retry_after, wire::error_body(why)};
-}
-
 core::JobStatus final_status(core::Final final) {
     return core::JobStatus{final, 0, 0};
 }
