--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -913,7 +913,10 @@
         answer = client.call(method, path, value, timeout)
         client.close()
         text = "%d %s" % (answer[0], answer[1]) if answer else "no answer"
-        self.record.say("user: %s %s at %s -> %s" % (method, path if value is None else "%s %s" % (path, value.get("uid", "")), c.name, text))
+        shown = path if len(path) < 120 else "%s... (%d characters)" % (path[:40], len(path))
+        if value and value.get("uid"):
+            shown += " " + value["uid"]
+        self.record.say("user: %s %s at %s -> %s" % (method, shown, c.name, text))
         return answer
 
     def submit(self, job, node=None):
