review: run.sh names the record and reads TROUBLE itself

Cause: both were hidden in the stand-ins' code, not seen in a case's folder. Change: run.sh passes record.txt and TROUBLE on as arguments.

--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -19,6 +19,7 @@
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", ".."))
 LIMIT_BYTES = 64 * 1024
+RECORD = None  # the file of the record, which run.sh names
 
 
 def json_size(value):
@@ -807,7 +808,7 @@
     def __init__(self, folder, zones, types, teams, boot_s=1.5, nodes=3, report_s=2.0, lease_s=10.0,
                  gang_wait_s=50.0, gang_peer_s=4.0, cancel_s=30.0, rps=150.0, write_rps=50.0, txn_ops=12,
                  cloud_rps=5.0, list_lag_s=6.0, mem_mb=72.0, max_sockets=700):
-        self.record = Record(os.path.join(folder, "record.txt"))
+        self.record = Record(RECORD or os.path.join(folder, "record.txt"))
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.zones, self.teams = zones, teams
         self.types = {t["sku"]: t for t in types}
@@ -984,10 +985,13 @@
 
 
 def main(case):
-    """Runs `case(folder, trouble)`, which returns True if the rule was broken."""
+    """Runs `case(folder, trouble)`, which returns True if the rule was broken. The arguments are the file of
+    the record, and 0 for a run without the disruption."""
+    global RECORD
     sys.setswitchinterval(0.001)
     folder = os.path.abspath(os.path.dirname(sys.argv[0]))
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+    RECORD = os.path.abspath(sys.argv[1])
+    trouble = sys.argv[2] != "0"
 
     def stop_now(*_):
         raise KeyboardInterrupt
