Do not send a rejected direct start again if its task has to stop

What callers would see: a task of a job that was confirmed as cancelled is started, and stopped with the next heartbeat response. A preempted task keeps its place, is started when there is room, and stopped at once.

Cause: an agent rejects a direct call that names a former agent epoch. DirectCommands::settle_start made the assignment bound again whether or not it was marked as stopping while the call was in progress, and bound tasks are started by the next command to their machine.

Change: such an assignment is unassigned, and the rest of its gang's attempt aborted. The rejection proves that the start has not taken effect and never will, because neither the epoch nor the token of an agent decreases.

--- a/src/core/reconciliation/direct_commands.cpp
+++ b/src/core/reconciliation/direct_commands.cpp
@@ -69,9 +69,23 @@
         assignment.direct_start_unsettled = false;
         assignment.started_in_agent_epoch = answer->agent_epoch;
     } else if (outcome == CommandOutcome::rejected) {
-        assignment.direct_start_unsettled = false;
+        withdraw_rejected_start(*job, command.index, assignment);
+    }
+}
+
+// Guard against ran_cancelled: a bound task is started by the next command to its machine, so a
+// task that was to be stopped while the call was in progress is unassigned instead.
+void DirectCommands::withdraw_rejected_start(Job& job, std::uint32_t index,
+                                             Assignment& assignment) {
+    assignment.direct_start_unsettled = false;
+    if (!assignment.stopping && !job.is_terminal()) {
         assignment.stage = Assignment::Stage::bound;
+        return;
     }
+    const auto attempt = assignment.attempt;
+    job_table_.unassign(job, index);
+    if (!job.is_terminal()) job_table_.abort_gang_attempt(job, attempt);
+    job_table_.forget_if_terminal(job);
 }
 
 }  // namespace bendspindle::core
--- a/src/core/reconciliation/direct_commands.hpp
+++ b/src/core/reconciliation/direct_commands.hpp
@@ -42,10 +42,13 @@
     /// Makes a stop due again that was not executed.
     void repeat_stop(const TaskCommand& command);
     /// Applies the outcome of a start. `answer` is the heartbeat in the call's response, or null.
+    /// May destroy the job if it is terminal.
     void settle_start(Machine& machine, const TaskCommand& command, const DirectCommand& call,
                       CommandOutcome outcome, const Heartbeat* answer);
 
   private:
+    void withdraw_rejected_start(Job& job, std::uint32_t index, Assignment& assignment);
+
     MachineInventory& inventory_;
     JobTable& job_table_;
     CommandPlanner& command_planner_;
--- /dev/null
+++ b/tests/direct_start_test.cpp
@@ -0,0 +1,116 @@
+// Starts sent in direct calls. The leader learns the outcome later; meanwhile the job may have been
+// cancelled, or the task preempted.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "core/controller.hpp"
+
+namespace bendspindle::core {
+namespace {
+
+constexpr std::uint64_t term = 7;
+const TimePoint start{std::chrono::hours(1)};
+
+class DirectStartTest : public testing::Test {
+  protected:
+    DirectStartTest() : controller_(config(), term) {
+        MachineType type;
+        type.name = "g8";
+        type.size = {8, 0, 64};
+        type.zones = {"a"};
+        controller_.set_types({type});
+        ListedMachine machine;
+        machine.name = "m1";
+        machine.type = "g8";
+        machine.zone = "a";
+        machine.address = "10.0.0.1:9000";
+        controller_.load_machine(machine, 3, start);
+        controller_.heartbeat(heartbeat(1, 1), start);
+    }
+    static Config config() {
+        Config out;
+        out.zones = {"a"};
+        out.teams = {{"red", {}, {}}};
+        return out;
+    }
+    // Returns a heartbeat of m1 without tasks.
+    static Heartbeat heartbeat(std::uint64_t agent_epoch, std::uint64_t sequence) {
+        Heartbeat out;
+        out.machine = "m1";
+        out.address = "10.0.0.1:9000";
+        out.type = "g8";
+        out.zone = "a";
+        out.agent_epoch = agent_epoch;
+        out.sequence = sequence;
+        out.fencing_token = term;
+        return out;
+    }
+    static std::size_t starts(const std::vector<TaskCommand>& commands, const std::string& job) {
+        return static_cast<std::size_t>(
+            std::count_if(commands.begin(), commands.end(), [&](const TaskCommand& command) {
+                return command.verb == TaskCommand::Verb::start && command.job == job;
+            }));
+    }
+    // Adds a job of one task that fills the machine.
+    void load_job(const std::string& id, Priority priority) {
+        JobSpec spec;
+        spec.id = id;
+        spec.team = "red";
+        spec.priority = priority;
+        spec.need = {8, 0, 1};
+        spec.estimate = Seconds{500};
+        controller_.load_job({spec, "c0", {}, 0, {}, TerminalState::none}, 4, start);
+    }
+    // Places what is idle, and returns the direct call that carries the starts.
+    DirectCommand place_by_direct_call() {
+        controller_.cycle(start);
+        const auto calls = controller_.direct_commands(start);
+        EXPECT_EQ(calls.size(), 1U);
+        return calls.empty() ? DirectCommand{} : calls[0];
+    }
+    // The agent has begun a new epoch and executes nothing.
+    void reject(const DirectCommand& call) {
+        const auto answer = heartbeat(2, 1);
+        controller_.complete_direct_call(call, CommandOutcome::rejected, &answer, start);
+    }
+
+    Controller controller_;
+};
+
+TEST_F(DirectStartTest, ARejectedStartIsSentAgain) {
+    load_job("job-1", Priority::normal);
+    const auto call = place_by_direct_call();
+    ASSERT_EQ(starts(call.commands, "job-1"), 1U);
+    reject(call);
+    EXPECT_EQ(starts(controller_.heartbeat(heartbeat(2, 2), start).commands, "job-1"), 1U);
+}
+
+// Guards against starts of a cancelled job: the rejected start was sent again in the next response.
+TEST_F(DirectStartTest, ARejectedStartOfACancelledJobIsNotSentAgain) {
+    load_job("job-1", Priority::normal);
+    const auto call = place_by_direct_call();
+    ASSERT_EQ(starts(call.commands, "job-1"), 1U);
+    ASSERT_TRUE(controller_.cancel("job-1", start));
+    reject(call);
+    EXPECT_EQ(starts(controller_.heartbeat(heartbeat(2, 2), start).commands, "job-1"), 0U);
+    EXPECT_TRUE(controller_.machines().at("m1").assigned_tasks.empty());
+}
+
+// Guards against a preempted task that keeps its place: it was started later only to be stopped.
+TEST_F(DirectStartTest, ARejectedStartOfAPreemptedTaskLeavesItsPlace) {
+    load_job("job-low", Priority::low);
+    const auto call = place_by_direct_call();
+    ASSERT_EQ(starts(call.commands, "job-low"), 1U);
+    load_job("job-high", Priority::high);
+    controller_.cycle(start);
+    ASSERT_EQ(controller_.machines().at("m1").assigned_tasks.size(), 2U);
+    reject(call);
+    const auto commands = controller_.heartbeat(heartbeat(2, 2), start).commands;
+    EXPECT_EQ(starts(commands, "job-low"), 0U);
+    EXPECT_EQ(starts(commands, "job-high"), 1U);
+    EXPECT_EQ(controller_.machines().at("m1").assigned_tasks.size(), 1U);
+}
+
+}  // namespace
+}  // namespace bendspindle::core
