Give the end of a task's attempt one place in JobTable

Unassigning a task and then aborting the rest of its gang's attempt stood at six places, and two of them left out the check for jobs that are over. JobTable::end_attempt does both. For a job that is over the abort changed nothing: its tasks are stopped already, or end by themselves.

--- a/src/core/cluster/job_table.cpp
+++ b/src/core/cluster/job_table.cpp
@@ -180,6 +180,14 @@
     }
 }
 
+void JobTable::end_attempt(Job& job, std::uint32_t index) {
+    const auto it = job.assignments.find(index);
+    if (it == job.assignments.end()) return;
+    const auto attempt = it->second.attempt;
+    unassign(job, index);
+    if (!job.is_terminal()) abort_gang_attempt(job, attempt);
+}
+
 void JobTable::stop(Assignment& assignment, Seconds grace) {
     if (assignment.stopping && grace >= assignment.grace) return;
     assignment.stopping = true;
@@ -221,10 +229,8 @@
     for (const auto& [job, index] : tasks) {
         const auto it = job->assignments.find(index);
         if (it == job->assignments.end()) continue;
-        const auto attempt = it->second.attempt;
         if (it->second.stage != Assignment::Stage::bound) ++lost;
-        unassign(*job, index);
-        if (!job->is_terminal()) abort_gang_attempt(*job, attempt);
+        end_attempt(*job, index);
     }
     return lost;
 }
--- a/src/core/reconciliation/command_planner.cpp
+++ b/src/core/reconciliation/command_planner.cpp
@@ -68,15 +68,8 @@
     for (const auto& [key, task] : machine.assigned_tasks)
         if (task.assignment->stage == Assignment::Stage::bound)
             bound.push_back({task.job, key.index});
-    for (const auto& [job, index] : bound) {
-        // If the attempt was aborted for an earlier entry, all of its bound tasks are already
-        // unassigned.
-        const auto it = job->assignments.find(index);
-        if (it == job->assignments.end()) continue;
-        const auto attempt = it->second.attempt;
-        job_table_.unassign(*job, index);
-        job_table_.abort_gang_attempt(*job, attempt);
-    }
+    // If the attempt was aborted for an earlier entry, all of its bound tasks are already unassigned.
+    for (const auto& [job, index] : bound) job_table_.end_attempt(*job, index);
 }
 
 void CommandPlanner::drain(Machine& machine, TimePoint now) {
--- a/src/core/reconciliation/direct_commands.cpp
+++ b/src/core/reconciliation/direct_commands.cpp
@@ -82,9 +82,7 @@
         assignment.stage = Assignment::Stage::bound;
         return;
     }
-    const auto attempt = assignment.attempt;
-    job_table_.unassign(job, index);
-    if (!job.is_terminal()) job_table_.abort_gang_attempt(job, attempt);
+    job_table_.end_attempt(job, index);
     job_table_.forget_if_terminal(job);
 }
 
--- a/src/core/reconciliation/task_reconciliation.cpp
+++ b/src/core/reconciliation/task_reconciliation.cpp
@@ -148,7 +148,6 @@
                 repeat_unsettled_start(job, key.index, assignment, commands);
             continue;
         }
-        const auto attempt = assignment.attempt;
         if (assignment.stage == Assignment::Stage::commanded) {
             // Guard against ran_twice: the answer to a direct call may overtake the heartbeat
             // response that carries the start, which may still take effect.
@@ -161,13 +160,10 @@
                 assignment.stage_entered_at = now;
                 continue;
             }
-            job_table_.unassign(job, key.index);
-            if (!job.is_terminal()) job_table_.abort_gang_attempt(job, attempt);
-            continue;
+        } else {
+            ++counts_.lost;
         }
-        ++counts_.lost;
-        job_table_.unassign(job, key.index);
-        job_table_.abort_gang_attempt(job, attempt);
+        job_table_.end_attempt(job, key.index);
     }
 }
 
@@ -236,12 +232,11 @@
     }
     if (!assigned_here) return;
     const auto commanded_at = job.assignments.at(task.index).commanded_at;
-    job_table_.unassign(job, task.index);
+    job_table_.end_attempt(job, task.index);
     if (task.cause == ExitCause::error) {
         ++counts_.errors;
         failure_attribution_.record_failure(machine, job, commanded_at, now);
     }
-    if (!job.is_terminal()) job_table_.abort_gang_attempt(job, task.attempt);
 }
 
 }  // namespace bendspindle::core
