Log direct commands and their outcome at debug level

Each command of a direct call now has a line direct_command with the outcome of the call. The lines of both kinds stand in agents/command_log.

--- a/src/agents/agent_command_client.cpp
+++ b/src/agents/agent_command_client.cpp
@@ -6,6 +6,7 @@
 #include <thread>
 #include <utility>
 
+#include "agents/command_log.hpp"
 #include "io/http_client.hpp"
 #include "wire/agent_messages.hpp"
 #include "wire/http_status.hpp"
@@ -74,6 +75,7 @@
     for (;;) {
         const auto command = next_command();
         const auto [outcome, heartbeat] = call_agent(command);
+        log_direct_commands(command, outcome);
 
         auto access = leader_state_.lock();
         if (!access.controller() || access.controller()->term() != command.fencing_token) continue;
--- a/src/agents/heartbeat_handler.cpp
+++ b/src/agents/heartbeat_handler.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "agents/command_log.hpp"
 #include "io/log.hpp"
 #include "wire/agent_messages.hpp"
 #include "wire/http_status.hpp"
@@ -12,28 +13,13 @@
 
 namespace {
 
-const char* verb_name(core::TaskCommand::Verb verb) {
-    switch (verb) {
-        case core::TaskCommand::Verb::start:
-            return "start";
-        case core::TaskCommand::Verb::stop:
-            return "stop";
-        case core::TaskCommand::Verb::acknowledge:
-            return "acknowledge";
-    }
-    return "";
-}
-
 void log_heartbeat_result(const core::Heartbeat& heartbeat, const core::AgentCounters& before,
                           const core::AgentCounters& after,
                           const std::vector<core::TaskCommand>& commands) {
     if (after.lost != before.lost || after.errors != before.errors)
         io::log::debug("heartbeat_showed_failures", "machine", heartbeat.machine, "lost",
                        after.lost - before.lost, "errors", after.errors - before.errors);
-    for (const auto& command : commands)
-        io::log::debug("task_command", "machine", heartbeat.machine, "verb",
-                       verb_name(command.verb), "job", command.job, "task", command.index,
-                       "attempt", command.attempt);
+    log_response_commands(heartbeat.machine, commands);
 }
 
 }  // namespace
--- a/src/core/cluster/job_table.hpp
+++ b/src/core/cluster/job_table.hpp
@@ -73,8 +73,8 @@
     /// Removes an assignment; a task that has not completed becomes idle again. Requires proof that
     /// the task is not running (rule ran_twice).
     void unassign(Job& job, std::uint32_t index);
-    /// Removes the assignment of an attempt that has ended or never began, as `unassign` does. Unless
-    /// the job is terminal, the rest of its gang's attempt is aborted.
+    /// Removes the assignment of an attempt that has ended or never began, as `unassign` does.
+    /// Unless the job is terminal, the rest of its gang's attempt is aborted.
     void end_attempt(Job& job, std::uint32_t index);
     /// Requests that a task be stopped, with `grace` to save a checkpoint. A shorter grace replaces
     /// a longer one.
--- a/src/core/reconciliation/command_planner.cpp
+++ b/src/core/reconciliation/command_planner.cpp
@@ -68,7 +68,8 @@
     for (const auto& [key, task] : machine.assigned_tasks)
         if (task.assignment->stage == Assignment::Stage::bound)
             bound.push_back({task.job, key.index});
-    // If the attempt was aborted for an earlier entry, all of its bound tasks are already unassigned.
+    // If the attempt was aborted for an earlier entry, all of its bound tasks are already
+    // unassigned.
     for (const auto& [job, index] : bound) job_table_.end_attempt(*job, index);
 }
 
