tests: one fixture for the core with one machine

NewLeaderTest and DirectStartTest built the same controller, machine and heartbeat. They share standin/one_machine.hpp; no expectation changed.

--- a/tests/direct_start_test.cpp
+++ b/tests/direct_start_test.cpp
@@ -4,47 +4,17 @@
 
 #include <algorithm>
 
-#include "core/controller.hpp"
+#include "standin/one_machine.hpp"
 
 namespace bendspindle::core {
 namespace {
 
-constexpr std::uint64_t term = 7;
-const TimePoint start{std::chrono::hours(1)};
-
-class DirectStartTest : public testing::Test {
+class DirectStartTest : public standin::OneMachine {
   protected:
-    DirectStartTest() : controller_(config(), term) {
-        MachineType type;
-        type.name = "g8";
-        type.size = {8, 0, 64};
-        type.zones = {"a"};
-        controller_.set_types({type});
-        ListedMachine machine;
-        machine.name = "m1";
-        machine.type = "g8";
-        machine.zone = "a";
-        machine.address = "10.0.0.1:9000";
-        controller_.load_machine(machine, 3, start);
-        controller_.heartbeat(heartbeat(1, 1), start);
-    }
-    static Config config() {
-        Config out;
-        out.zones = {"a"};
-        out.teams = {{"red", {}, {}}};
-        return out;
-    }
-    // Returns a heartbeat of m1 without tasks.
+    DirectStartTest() { controller_.heartbeat(heartbeat(1, 1), start); }
+    // Returns a heartbeat of m1, which has seen the leader's token.
     static Heartbeat heartbeat(std::uint64_t agent_epoch, std::uint64_t sequence) {
-        Heartbeat out;
-        out.machine = "m1";
-        out.address = "10.0.0.1:9000";
-        out.type = "g8";
-        out.zone = "a";
-        out.agent_epoch = agent_epoch;
-        out.sequence = sequence;
-        out.fencing_token = term;
-        return out;
+        return empty_heartbeat(term, agent_epoch, sequence);
     }
     static std::size_t starts(const std::vector<TaskCommand>& commands, const std::string& job) {
         return static_cast<std::size_t>(
@@ -74,8 +44,6 @@
         const auto answer = heartbeat(2, 1);
         controller_.complete_direct_call(call, CommandOutcome::rejected, &answer, start);
     }
-
-    Controller controller_;
 };
 
 TEST_F(DirectStartTest, ARejectedStartIsSentAgain) {
--- a/tests/new_leader_test.cpp
+++ b/tests/new_leader_test.cpp
@@ -5,35 +5,13 @@
 
 #include <algorithm>
 
-#include "core/controller.hpp"
+#include "standin/one_machine.hpp"
 
 namespace bendspindle::core {
 namespace {
 
-constexpr std::uint64_t term = 7;
-const TimePoint start{std::chrono::hours(1)};
-
-class NewLeaderTest : public testing::Test {
+class NewLeaderTest : public standin::OneMachine {
   protected:
-    NewLeaderTest() : controller_(config(), term) {
-        MachineType type;
-        type.name = "g8";
-        type.size = {8, 0, 64};
-        type.zones = {"a"};
-        controller_.set_types({type});
-        ListedMachine machine;
-        machine.name = "m1";
-        machine.type = "g8";
-        machine.zone = "a";
-        machine.address = "10.0.0.1:9000";
-        controller_.load_machine(machine, 3, start);
-    }
-    static Config config() {
-        Config out;
-        out.zones = {"a"};
-        out.teams = {{"red", {}, {}}};
-        return out;
-    }
     static JobSpec spec() {
         JobSpec out;
         out.id = "job-1";
@@ -43,14 +21,7 @@
     }
     // Returns a heartbeat of m1, which runs a task of job-1.
     static Heartbeat heartbeat(std::uint64_t fencing_token, std::uint64_t sequence) {
-        Heartbeat out;
-        out.machine = "m1";
-        out.address = "10.0.0.1:9000";
-        out.type = "g8";
-        out.zone = "a";
-        out.agent_epoch = 1;
-        out.sequence = sequence;
-        out.fencing_token = fencing_token;
+        auto out = empty_heartbeat(fencing_token, 1, sequence);
         out.tasks = {{"job-1", 0, 5, TaskState::running, ExitCause::none, false}};
         return out;
     }
@@ -59,8 +30,6 @@
             std::count(commands.begin(), commands.end(),
                        TaskCommand{TaskCommand::Verb::stop, "job-1", 0, 5, Seconds{0}}));
     }
-
-    Controller controller_;
 };
 
 TEST_F(NewLeaderTest, StopsOrphanedTasksInItsFirstResponse) {
