--- a/tests/randomized_simulation_test.cpp
+++ b/tests/randomized_simulation_test.cpp
@@ -10,7 +10,10 @@
 #include <gtest/gtest.h>
 
 #include <cstdlib>
+#include <map>
 #include <random>
+#include <string>
+#include <vector>
 
 #include "standin/simulated_cluster.hpp"
 
@@ -30,6 +33,8 @@
 };
 
 constexpr int machines = 8;
+constexpr int faulty_seconds = 70;
+constexpr int fault_kinds = 18;
 constexpr std::size_t setup_lines = 7;  // without them there is no cluster
 
 // What becomes of direct calls that were not answered in time.
@@ -63,77 +68,112 @@
            " run=" + std::to_string(2 + draw.below(25));
 }
 
-Lines random_scenario(unsigned seed, UnansweredCalls calls) {
-    Draw draw(seed);
-    Lines out{"type g8 cpus=8 gpus=4 memory=64",
-              "team red cpus=16 cpus-max=40",
-              "team blue cpus=8 cpus-max=48",
-              "keep-idle 20",
-              "scale-out yes boot=5",
-              std::string("direct-commands ") + (draw.below(4) ? "yes" : "no"),
-              "controller"};
-    const auto machine = [&] { return "m" + std::to_string(draw.below(machines)); };
-    for (int i = 0; i < machines; ++i)
-        out.push_back("machine m" + std::to_string(i) + " g8 " + (i % 2 ? "a" : "b") +
-                      (i % 4 == 3 ? " spot=yes" : "") + (draw.below(20) == 0 ? " faulty=yes" : ""));
-    int jobs = 0;
-    bool split = false;
-    bool down = false;
-    const auto fault = [&]() -> std::string {
-        switch (draw.below(18)) {
-            case 0:
-                return "cut-inbound " + machine();
-            case 1:
-                return "heal-inbound " + machine();
-            case 2:
-                return "cut " + machine();
-            case 3:
-                return "heal " + machine();
-            case 4:
-                return "hang " + machine();
-            case 5:
-                return "resume " + machine();
-            case 6:
-                return "kill " + machine();
+// Draws one scenario. What is drawn, and in which order, decides what a seed stands for.
+class RandomScenario {
+  public:
+    RandomScenario(unsigned seed, UnansweredCalls calls) : draw_(seed), calls_(calls) {}
+
+    Lines lines() {
+        add_deployment();
+        for (int second = 0; second < faulty_seconds; ++second) add_second();
+        return lines_;
+    }
+
+  private:
+    void add_deployment() {
+        lines_ = {"type g8 cpus=8 gpus=4 memory=64",
+                  "team red cpus=16 cpus-max=40",
+                  "team blue cpus=8 cpus-max=48",
+                  "keep-idle 20",
+                  "scale-out yes boot=5",
+                  std::string("direct-commands ") + (draw_.below(4) ? "yes" : "no"),
+                  "controller"};
+        for (int i = 0; i < machines; ++i)
+            lines_.push_back("machine m" + std::to_string(i) + " g8 " + (i % 2 ? "a" : "b") +
+                             (i % 4 == 3 ? " spot=yes" : "") +
+                             (draw_.below(20) == 0 ? " faulty=yes" : ""));
+    }
+
+    void add_second() {
+        if (!store_down_ && draw_.below(5) == 0) lines_.push_back(some_job(draw_, ++jobs_));
+        if (!store_down_ && jobs_ > 0 && draw_.below(30) == 0)
+            lines_.push_back("cancel job-" + std::to_string(1 + draw_.below(jobs_)));
+        if (draw_.below(3) == 0) lines_.push_back(fault());
+        lines_.push_back("run 1");
+    }
+
+    std::string fault() {
+        static const std::map<int, std::string> machine_faults{{0, "cut-inbound"},
+                                                               {1, "heal-inbound"},
+                                                               {2, "cut"},
+                                                               {3, "heal"},
+                                                               {4, "hang"},
+                                                               {5, "resume"},
+                                                               {6, "kill"},
+                                                               {8, "delay-heartbeat"},
+                                                               {9, "delay-heartbeat"},
+                                                               {11, "delay-commands"},
+                                                               {13, "delay-response"},
+                                                               {14, "lose-response"}};
+        const int kind = draw_.below(fault_kinds);
+        const auto found = machine_faults.find(kind);
+        if (found != machine_faults.end()) return join({found->second, machine()});
+        switch (kind) {
             case 7:
-                return "spot-notice " + machine() + " " + std::to_string(4 + draw.below(12));
-            case 8:
-            case 9:
-                return "delay-heartbeat " + machine();
+                return spot_notice();
             case 10:
                 return "deliver-heartbeats";
-            case 11:
-                return "delay-commands " + machine();
             case 12:
-                return end_of(calls);
-            case 13:
-                return "delay-response " + machine();
-            case 14:
-                return "lose-response " + machine();
+                return end_of(calls_);
             case 15:
-                return "pause-leader " + std::to_string(1 + draw.below(20));
+                return "pause-leader " + std::to_string(1 + draw_.below(20));
             case 16:
-                if (split) {
-                    split = false;
-                    return "heal-partition";
-                }
-                if (draw.below(2)) return "crash\nfailover";
-                split = true;
-                return "partition-leader " + machine() + " " + machine() + " " + machine();
+                return change_of_leader();
             default:
-                down = !down;
-                return down ? "state down" : "state up";
+                store_down_ = !store_down_;
+                return store_down_ ? "state down" : "state up";
         }
-    };
-    for (int second = 0; second < 70; ++second) {
-        if (!down && draw.below(5) == 0) out.push_back(some_job(draw, ++jobs));
-        if (!down && jobs > 0 && draw.below(30) == 0)
-            out.push_back("cancel job-" + std::to_string(1 + draw.below(jobs)));
-        if (draw.below(3) == 0) out.push_back(fault());
-        out.push_back("run 1");
     }
-    return out;
-}
+
+    std::string spot_notice() {
+        const auto seconds = std::to_string(4 + draw_.below(12));
+        return join({"spot-notice", machine(), seconds});
+    }
+
+    std::string change_of_leader() {
+        if (partitioned_) {
+            partitioned_ = false;
+            return "heal-partition";
+        }
+        if (draw_.below(2)) return "crash\nfailover";
+        partitioned_ = true;
+        const auto first = machine();
+        const auto second = machine();
+        return join({"partition-leader", machine(), second, first});
+    }
+
+    std::string machine() {
+        std::string name = "m";
+        name += std::to_string(draw_.below(machines));
+        return name;
+    }
+
+    static std::string join(const Lines& words) {
+        std::string line;
+        for (const auto& word : words) {
+            if (!line.empty()) line += ' ';
+            line += word;
+        }
+        return line;
+    }
+
+    Draw draw_;
+    const UnansweredCalls calls_;
+    Lines lines_;
+    int jobs_ = 0;
+    bool partitioned_ = false;
+    bool store_down_ = false;
+};
 
 // Everything is whole again, late messages included; what is left has time to end.
 Lines over(UnansweredCalls calls) {
@@ -198,7 +238,7 @@
         if (*rest == ',') count = static_cast<unsigned>(std::strtoul(rest + 1, nullptr, 10));
     }
     for (unsigned seed = first; seed < first + count; ++seed) {
-        const auto lines = random_scenario(seed, calls);
+        const auto lines = RandomScenario(seed, calls).lines();
         const auto failure = failure_of(lines, calls);
         if (failure.empty()) continue;
         std::string scenario;
