--- a/tests/direct_start_test.cpp
+++ b/tests/direct_start_test.cpp
@@ -39,6 +39,10 @@
         EXPECT_EQ(calls.size(), 1U);
         return calls.empty() ? DirectCommand{} : calls[0];
     }
+    // The call is lost on its way.
+    void lose(const DirectCommand& call) {
+        controller_.complete_direct_call(call, CommandOutcome::unknown, nullptr, start);
+    }
     // The agent has begun a new epoch and executes nothing.
     void reject(const DirectCommand& call) {
         const auto answer = heartbeat(2, 1);
@@ -80,5 +84,25 @@
     EXPECT_EQ(controller_.machines().at("m1").assigned_tasks.size(), 1U);
 }
 
+// Guards against a machine that is never empty again: another controller has recorded the job as
+// done while a start of it was lost.
+TEST_F(DirectStartTest, ALostStartOfAJobRecordedAsDoneLeavesItsPlace) {
+    load_job("job-1", Priority::normal);
+    const auto call = place_by_direct_call();
+    ASSERT_EQ(starts(call.commands, "job-1"), 1U);
+    lose(call);
+    controller_.apply_recorded_terminal_state("job-1", TerminalState::done, start);
+    const auto commands = controller_.heartbeat(heartbeat(1, 2), start).commands;
+    ASSERT_EQ(commands.size(), 2U);
+    EXPECT_EQ(commands[0].verb, TaskCommand::Verb::start);
+    EXPECT_EQ(commands[1].verb, TaskCommand::Verb::stop);
+
+    auto stopped = heartbeat(1, 3);
+    stopped.tasks = {
+        {"job-1", 0, commands[0].attempt, TaskState::exited, ExitCause::stopped, false}};
+    controller_.heartbeat(stopped, start);
+    EXPECT_TRUE(controller_.machines().at("m1").assigned_tasks.empty());
+}
+
 }  // namespace
 }  // namespace bendspindle::core
