Bound the size of transactions by the records in them

What callers would have seen, shown by a test only: of several jobs with long lists of machine types that a follower admits within 10 ms, the transaction is refused as too large; each is then written alone, with a pause after each.

Cause: job admission took every record for one of 2 KiB. The state writer took twice the size as CBOR, and counted records of jobs only.

Change: both count each record with its conditions as JSON text, as the protocol does, up to 63 KiB a transaction (state/transaction_size). The part of StateWriter::add that makes the operations is a function of its own.

--- a/src/api/job_submission.cpp
+++ b/src/api/job_submission.cpp
@@ -90,7 +90,7 @@
     core::JobRecord record;
     record.spec = spec;
     record.submitted = std::chrono::system_clock::now();
-    const auto answer = admission_.admit(std::move(record));
+    const auto answer = admission_.admit(record);
     if (answer.outcome == state::JobAdmission::Result::failed)
         return wire::unavailable("the job could not be recorded in time");
     const bool is_new = answer.outcome == state::JobAdmission::Result::admitted;
--- a/src/state/job_admission.cpp
+++ b/src/state/job_admission.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "state/keys.hpp"
+#include "state/transaction_size.hpp"
 #include "wire/records.hpp"
 
 namespace bendspindle::state {
@@ -17,8 +18,7 @@
 constexpr milliseconds batching_time{10};
 constexpr milliseconds admission_timeout{2500};  // user requests time out after 5 s
 constexpr milliseconds min_retry_delay{100};
-constexpr std::size_t max_transaction_bytes = 48 * 1024;
-constexpr std::size_t assumed_record_bytes = 2048;
+constexpr std::size_t max_transaction_entries = 24;  // the leader writes as well
 // The share of the store's write rate that admissions on one controller may use. All controllers
 // share that rate.
 constexpr double budget_share = 0.4;
@@ -39,9 +39,11 @@
 JobAdmission::JobAdmission(KeyValueStore& store, config::StateLimits limits)
     : store_(store), limits_(limits) {}
 
-JobAdmission::Answer JobAdmission::admit(core::JobRecord record) {
+JobAdmission::Answer JobAdmission::admit(const core::JobRecord& record) {
     auto entry = std::make_shared<Entry>();
-    entry->record = std::move(record);
+    entry->id = record.spec.id;
+    entry->record = wire::job_record(record);
+    entry->bytes = max_bytes_in_transaction(keys::job(entry->id), entry->record);
     entry->deadline = Clock::now() + admission_timeout;
     std::unique_lock lock(mutex_);
     waiting_.push_back(entry);
@@ -70,14 +72,16 @@
     // One record that the store rejected as malformed made every transaction with it fail until the
     // users of the other jobs timed out. After such a rejection the entries are written one at a
     // time (JobAdmission.AdmitsTheOthersWhenOneIsCalledMalformed).
-    const auto max_entries =
-        single_writes_left_ > 0
-            ? std::size_t{1}
-            : std::min(limits_.txn_ops, max_transaction_bytes / assumed_record_bytes);
+    const auto max_entries = single_writes_left_ > 0
+                                 ? std::size_t{1}
+                                 : std::min(limits_.txn_ops, max_transaction_entries);
     if (single_writes_left_ > 0) --single_writes_left_;
     Batch batch;
+    std::size_t bytes = 0;
     const std::lock_guard lock(mutex_);
     while (!waiting_.empty() && batch.size() < max_entries) {
+        bytes += waiting_.front()->bytes;
+        if (bytes > max_transaction_bytes && !batch.empty()) break;
         auto entry = std::move(waiting_.front());
         waiting_.pop_front();
         // A job whose admission has timed out is not written: its user was told that it was not
@@ -101,10 +105,9 @@
     std::vector<wire::Condition> conditions;
     std::vector<wire::Operation> operations;
     for (const auto& entry : batch) {
-        const auto& id = entry->record.spec.id;
-        conditions.push_back({keys::job(id), 0});
-        conditions.push_back({keys::ended_job(id), 0});
-        operations.push_back({keys::job(id), wire::job_record(entry->record), {}});
+        conditions.push_back({keys::job(entry->id), 0});
+        conditions.push_back({keys::ended_job(entry->id), 0});
+        operations.push_back({keys::job(entry->id), entry->record, {}});
     }
     const auto sent_at = Clock::now();
     const auto result = store_.compare_and_swap(conditions, operations);
@@ -118,9 +121,8 @@
     const std::lock_guard lock(mutex_);
     for (const auto& entry : batch) {
         entry->sent_at = sent_at;
-        const auto& id = entry->record.spec.id;
-        const bool exists = condition_failed(result, keys::job(id)) ||
-                            condition_failed(result, keys::ended_job(id));
+        const bool exists = condition_failed(result, keys::job(entry->id)) ||
+                            condition_failed(result, keys::ended_job(entry->id));
         if (result.outcome == StoreStatus::ok)
             entry->outcome = Result::admitted;
         else if (result.outcome == StoreStatus::conflict && exists)
--- a/src/state/job_admission.hpp
+++ b/src/state/job_admission.hpp
@@ -14,11 +14,13 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "config/settings.hpp"
 #include "core/cluster/job.hpp"
 #include "state/key_value_store.hpp"
+#include "wire/cbor.hpp"
 
 namespace bendspindle::state {
 
@@ -44,12 +46,14 @@
     void run();
     /// Writes the job's first record unless the job has a record. Waits until the outcome is known,
     /// and no longer than a user request may wait.
-    [[nodiscard]] Answer admit(core::JobRecord record);
+    [[nodiscard]] Answer admit(const core::JobRecord& record);
 
   private:
     using Clock = std::chrono::steady_clock;
     struct Entry {
-        core::JobRecord record;
+        std::string id;
+        wire::Value record;
+        std::size_t bytes = 0;  // upper bound on its size in a transaction
         Clock::time_point deadline{};
         std::optional<Result> outcome;
         Clock::time_point sent_at{};
--- a/src/state/state_writer.cpp
+++ b/src/state/state_writer.cpp
@@ -1,10 +1,12 @@
 #include "state/state_writer.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <thread>
 #include <utility>
 
 #include "io/log.hpp"
+#include "state/transaction_size.hpp"
 #include "wire/records.hpp"
 
 namespace bendspindle::state {
@@ -18,17 +20,11 @@
 constexpr milliseconds max_wait{250};
 constexpr milliseconds min_retry_delay{150};
 constexpr milliseconds max_retry_delay{1500};
-constexpr std::size_t max_job_record_bytes = 56 * 1024;
 constexpr std::chrono::seconds quarantine_time{20};
 // The share of the store's write rate that this writer uses; the rest is for leases and leadership
 // records.
 constexpr double budget_share = 0.8;
 
-// Returns an upper estimate of the record's size in the body of a transaction.
-std::size_t size_in_transaction(const wire::Value& record) {
-    return wire::to_cbor(record).size() * 2 + 100;
-}
-
 bool is_job(const core::RecordWrite& write) {
     return write.type == Type::put_job || write.type == Type::finish_job;
 }
@@ -37,6 +33,26 @@
     return is_job(write) ? keys::job(write.id) : keys::machine(write.id);
 }
 
+// Returns the operations of the write. The last of them writes the record, if any does.
+std::vector<wire::Operation> operations_of(const core::RecordWrite& write) {
+    switch (write.type) {
+        case Type::put_job:
+            return {{keys::job(write.id), wire::job_record(write.job), {}}};
+        case Type::finish_job: {
+            std::vector<wire::Operation> out;
+            const bool replaces_open_record = write.mod_revision != 0;
+            if (replaces_open_record) out.push_back({keys::job(write.id), std::nullopt, {}});
+            out.push_back({keys::ended_job(write.id), wire::terminal_record(write.job), {}});
+            return out;
+        }
+        case Type::put_machine:
+            return {{keys::machine(write.id), wire::machine_record(write.machine), {}}};
+        case Type::delete_machine:
+            return {{keys::machine(write.id), std::nullopt, {}}};
+    }
+    return {};
+}
+
 bool condition_failed(const CasResult& result, const std::string& key) {
     return std::find(result.failed.begin(), result.failed.end(), key) != result.failed.end();
 }
@@ -95,40 +111,18 @@
 
 // Adds a write if the batch has room. The first write always fits.
 StateWriter::AddResult StateWriter::add(core::RecordWrite write, Batch& batch) const {
-    const bool replaces_open_record = write.type == Type::finish_job && write.mod_revision != 0;
-    const std::size_t operations = replaces_open_record ? 2 : 1;
-    const bool full = batch.operations.size() + operations > limits_.txn_ops;
+    static const wire::Value no_record;
+    auto operations = operations_of(write);
+    const auto& last = operations.back();
+    const auto bytes = max_bytes_in_transaction(key_of(write), last.put ? *last.put : no_record);
+    const bool full = batch.operations.size() + operations.size() > limits_.txn_ops ||
+                      batch.bytes + bytes > max_transaction_bytes;
     if (!batch.writes.empty() && (full || single_writes_left_ > 0)) return AddResult::batch_full;
-    const wire::Condition unchanged{key_of(write), write.mod_revision};
-    switch (write.type) {
-        case Type::put_job: {
-            auto record = wire::job_record(write.job);
-            batch.job_record_bytes += size_in_transaction(record);
-            if (batch.job_record_bytes > max_job_record_bytes && !batch.writes.empty())
-                return AddResult::batch_full;
-            batch.conditions.push_back(unchanged);
-            if (write.mod_revision == 0) batch.conditions.push_back({keys::ended_job(write.id), 0});
-            batch.operations.push_back({keys::job(write.id), std::move(record), {}});
-            break;
-        }
-        case Type::finish_job:
-            batch.conditions.push_back(unchanged);
-            batch.conditions.push_back({keys::ended_job(write.id), 0});
-            if (replaces_open_record)
-                batch.operations.push_back({keys::job(write.id), std::nullopt, {}});
-            batch.operations.push_back(
-                {keys::ended_job(write.id), wire::terminal_record(write.job), {}});
-            break;
-        case Type::put_machine:
-            batch.conditions.push_back(unchanged);
-            batch.operations.push_back(
-                {keys::machine(write.id), wire::machine_record(write.machine), {}});
-            break;
-        case Type::delete_machine:
-            batch.conditions.push_back(unchanged);
-            batch.operations.push_back({keys::machine(write.id), std::nullopt, {}});
-            break;
-    }
+    batch.bytes += bytes;
+    batch.conditions.push_back({key_of(write), write.mod_revision});
+    if (write.type == Type::finish_job || (write.type == Type::put_job && write.mod_revision == 0))
+        batch.conditions.push_back({keys::ended_job(write.id), 0});
+    std::move(operations.begin(), operations.end(), std::back_inserter(batch.operations));
     batch.writes.push_back(std::move(write));
     return AddResult::added;
 }
--- a/src/state/state_writer.hpp
+++ b/src/state/state_writer.hpp
@@ -44,7 +44,7 @@
         std::vector<core::RecordWrite> writes;
         std::vector<wire::Condition> conditions;
         std::vector<wire::Operation> operations;
-        std::size_t job_record_bytes = 0;
+        std::size_t bytes = 0;  // upper bound on the size of the transaction
         // Ids of the jobs whose terminal state is sent for the first time.
         std::vector<std::string> terminal_states;
     };
--- a/src/wire/cbor.cpp
+++ b/src/wire/cbor.cpp
@@ -50,4 +50,10 @@
     return out;
 }
 
+std::size_t json_size(const Value& value) {
+    constexpr int one_line = -1;
+    constexpr bool ascii_only = false;
+    return value.dump(one_line, ' ', ascii_only, Value::error_handler_t::replace).size();
+}
+
 }  // namespace bendspindle::wire
--- a/src/wire/cbor.hpp
+++ b/src/wire/cbor.hpp
@@ -12,12 +12,15 @@
 
 using Value = nlohmann::json;
 
-/// The maximum size of a request body.
+/// The maximum size of a request body. The protocol counts it as JSON text; no body of the
+/// protocol's messages is larger as CBOR.
 constexpr std::size_t max_request_bytes = 64 * 1024;
 
 /// Parses CBOR with a limit on the nesting depth. Returns nullopt if the body is malformed or
 /// truncated. Never throws, because the body comes from an untrusted sender.
 std::optional<Value> parse_cbor(std::string_view body);
 [[nodiscard]] std::string to_cbor(const Value& value);
+/// Returns the size of the value as JSON text, the form to which the protocol's limits apply.
+[[nodiscard]] std::size_t json_size(const Value& value);
 
 }  // namespace bendspindle::wire
--- a/tests/standin/message_size.hpp
+++ b/tests/standin/message_size.hpp
@@ -10,9 +10,7 @@
 
 inline std::size_t json_size(const std::string& cbor_body) {
     const auto value = wire::parse_cbor(cbor_body);
-    constexpr int one_line = -1;
-    return value ? value->dump(one_line, ' ', false, wire::Value::error_handler_t::replace).size()
-                 : 0;
+    return value ? wire::json_size(*value) : 0;
 }
 
 }  // namespace bendspindle::standin
--- a/tests/standin/state_service.cpp
+++ b/tests/standin/state_service.cpp
@@ -16,6 +16,9 @@
 constexpr std::size_t changes_kept = 10'000;
 constexpr std::size_t most_a_page = 1000;
 constexpr std::size_t most_page_bytes = 512 * 1024;
+// As JSON text.
+constexpr std::size_t most_transaction_bytes = 64 * 1024;
+constexpr std::size_t most_value_bytes = 32 * 1024;
 constexpr std::size_t most_requests_a_connection = 1'000'000;
 // Leases end at most this late.
 constexpr milliseconds look_every{20};
@@ -321,12 +324,25 @@
     std::this_thread::sleep_for(fate.after);
 }
 
+bool StateService::is_oversized(const Value& transaction) {
+    const auto& operations = transaction.at("apply");
+    return wire::json_size(transaction) > most_transaction_bytes ||
+           std::any_of(operations.begin(), operations.end(), [](const Value& operation) {
+               return operation.contains("put") &&
+                      wire::json_size(operation.at("v")) > most_value_bytes;
+           });
+}
+
 void StateService::compare_and_swap(Front& front, const httplib::Request& request,
                                     httplib::Response& response) {
     const std::lock_guard lock(mutex_);
     expire();
     const auto body = wire::parse_cbor(request.body);
     const auto& operations = (*body)["apply"];
+    if (is_oversized(*body)) {
+        ++oversized_transactions_;
+        return answer(response, 400, {{"error", "too large"}});
+    }
     if (!writes_.take(static_cast<double>(operations.size()), Clock::now())) {
         ++front.counts.refused;
         return answer(response, 429, {{"error", "too many writes"}});
--- a/tests/standin/state_service.hpp
+++ b/tests/standin/state_service.hpp
@@ -101,6 +101,8 @@
     }
     /// So many transactions were carried out unanswered, or late.
     int troubled() const { return troubled_; }
+    /// So many transactions, or values in them, were larger than the protocol allows; they got 400.
+    int oversized_transactions() const { return oversized_transactions_; }
     /// What was asked for at that port.
     StateCounts counts(std::size_t port) const;
     /// A key's value as it stands; nullopt: there is none.
@@ -165,6 +167,7 @@
     void read_slowly(const std::string& key);
     Fate fate_of_transaction(const wire::Value& body);
     std::chrono::milliseconds drawn_slowness();
+    static bool is_oversized(const wire::Value& transaction);
     void compare_and_swap(Front& front, const httplib::Request& request,
                           httplib::Response& response);
     void transact_in_time(Front& front, const httplib::Request& request,
@@ -188,6 +191,7 @@
     Troubles troubles_;
     std::mt19937 random_;
     std::atomic<int> troubled_{0};
+    std::atomic<int> oversized_transactions_{0};
     Bucket requests_;
     Bucket writes_;
     std::atomic<bool> ending_{false};
--- a/tests/state_writer_test.cpp
+++ b/tests/state_writer_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <thread>
 
 #include "standin/services.hpp"
@@ -234,7 +235,7 @@
         users.emplace_back([&, id] {
             core::JobRecord record;
             record.spec = job(id);
-            const auto outcome = fixture.admission.admit(std::move(record)).outcome;
+            const auto outcome = fixture.admission.admit(record).outcome;
             const std::lock_guard lock(mutex);
             outcomes[id] = outcome;
         });
@@ -244,5 +245,28 @@
     EXPECT_EQ(outcomes["job-7"], JobAdmission::Result::admitted);
 }
 
+// Guards against refused transactions: job admission took every record for one of 2 KiB, and a few
+// with long lists of machine types made a transaction larger than the service accepts.
+TEST(JobAdmission, AdmitsLongRecordsInTransactionsOfLimitedSize) {
+    auto& fixture = writer_fixture();
+    constexpr config::StateLimits many_operations{500, 500, 32, 48};
+    static auto* admission = new JobAdmission(fixture.store, many_operations);
+    std::thread([] { admission->run(); }).detach();
+    const auto oversized_before = fixture.service.oversized_transactions();
+    std::vector<std::thread> users;
+    std::atomic<int> admitted{0};
+    constexpr int count = 48;
+    for (int i = 0; i < count; ++i)
+        users.emplace_back([&, i] {
+            core::JobRecord record;
+            record.spec = job("job-long-" + std::to_string(i));
+            record.spec.types = std::vector<std::string>(20, std::string(200, 'x'));
+            if (admission->admit(record).outcome == JobAdmission::Result::admitted) ++admitted;
+        });
+    for (auto& user : users) user.join();
+    EXPECT_EQ(admitted, count);
+    EXPECT_EQ(fixture.service.oversized_transactions(), oversized_before);
+}
+
 }  // namespace
 }  // namespace bendspindle::state
