Name the limit of messages once, and leave the room check as it was

The request limit of wire and the message limit of the core are one constant, and the tests' own limit stands once. The comment on the bounds named the wrong test.

--- a/src/core/model/message_size.hpp
+++ b/src/core/model/message_size.hpp
@@ -1,6 +1,6 @@
 /// Upper bounds on the size of messages between agents and the leader. The protocol limits every
-/// message, and counts its size as JSON text. `wire` encodes the messages; codec_test compares its
-/// output with these bounds.
+/// message, and counts its size as JSON text. `wire` encodes the messages; message_size_test
+/// compares its output with these bounds.
 ///
 /// A heartbeat lists all tasks of its machine, so the limit also bounds how many tasks a machine
 /// can have. Scheduling treats the space in the heartbeat as a resource of the machine
--- a/src/wire/cbor.hpp
+++ b/src/wire/cbor.hpp
@@ -8,13 +8,15 @@
 #include <string>
 #include <string_view>
 
+#include "core/model/message_size.hpp"
+
 namespace bendspindle::wire {
 
 using Value = nlohmann::json;
 
 /// The maximum size of a request body. The protocol counts it as JSON text; no body of the
 /// protocol's messages is larger as CBOR.
-constexpr std::size_t max_request_bytes = 64 * 1024;
+constexpr std::size_t max_request_bytes = core::max_message_bytes;
 
 /// Parses CBOR with a limit on the nesting depth. Returns nullopt if the body is malformed or
 /// truncated. Never throws, because the body comes from an untrusted sender.
--- a/tests/message_size_test.cpp
+++ b/tests/message_size_test.cpp
@@ -19,8 +19,8 @@
 namespace {
 
 using standin::json_size;
+using standin::message_limit_bytes;
 
-constexpr std::size_t message_limit_bytes = 65'536;
 constexpr std::uint64_t largest_attempt = std::numeric_limits<std::uint64_t>::max();
 
 const std::vector<std::string> job_ids{"job-000412", "job-" + std::string(60, 'x'),
--- a/tests/standin/message_size.hpp
+++ b/tests/standin/message_size.hpp
@@ -8,6 +8,9 @@
 
 namespace bendspindle::standin {
 
+// For requests, and for responses to workers and users.
+constexpr std::size_t message_limit_bytes = 65'536;
+
 inline std::size_t json_size(const std::string& cbor_body) {
     const auto value = wire::parse_cbor(cbor_body);
     return value ? wire::json_size(*value) : 0;
--- a/tests/standin/services.cpp
+++ b/tests/standin/services.cpp
@@ -94,7 +94,6 @@
 }
 
 bool CloudAndWorkers::is_oversized(const std::string& body) {
-    constexpr std::size_t message_limit_bytes = 65'536;
     if (json_size(body) <= message_limit_bytes) return false;
     ++oversized_messages_;
     return true;
--- a/tests/standin/simulated_cluster_rules.cpp
+++ b/tests/standin/simulated_cluster_rules.cpp
@@ -2,7 +2,6 @@
 // protocol.
 #include <algorithm>
 
-#include "core/model/message_size.hpp"
 #include "standin/message_size.hpp"
 #include "standin/simulated_cluster.hpp"
 #include "wire/agent_messages.hpp"
@@ -14,8 +13,6 @@
 using core::Seconds;
 using core::TaskState;
 
-// As the protocol sets it, for requests and for responses to workers.
-constexpr std::size_t message_limit_bytes = 65'536;
 // With fewer entries no message reaches the limit.
 constexpr std::size_t few_entries = 200;
 
@@ -86,15 +83,9 @@
     const auto type = std::find_if(types_.begin(), types_.end(),
                                    [&](const auto& t) { return t.name == agent.type; });
     auto free = type->size;
-    auto list_bytes = core::max_task_list_bytes;
-    for (const auto& task : agent.tasks) {
+    for (const auto& task : agent.tasks)
         if (task.state != TaskState::exited) free -= specs_.at(task.job).need;
-        list_bytes -= std::min(list_bytes, core::max_task_entry_bytes(task.job));
-    }
-    const auto listed = list_bytes / core::max_task_entry_bytes(spec.id);
-    for (tasks = 0; tasks < std::min<std::size_t>(spec.tasks, listed) && free.holds(spec.need);
-         ++tasks)
-        free -= spec.need;
+    for (tasks = 0; tasks < spec.tasks && free.holds(spec.need); ++tasks) free -= spec.need;
     return tasks > 0;
 }
 
