Test the token in the response to an overtaken heartbeat

Found by taking guards out one by one: no test fell when that response carried the first token of the term, which the agent would drop.

--- a/tests/direct_start_test.cpp
+++ b/tests/direct_start_test.cpp
@@ -151,6 +151,16 @@
     EXPECT_EQ(place_by_direct_call().fencing_token, raised);
 }
 
+// Guards against a lost lease: an agent drops a response with a lower token than it has seen.
+TEST_F(DirectStartTest, TheResponseToAnOvertakenHeartbeatCarriesTheRaisedToken) {
+    load_job("job-1", Priority::normal);
+    const auto call = place_by_direct_call();
+    execute(call, 2);
+    const auto raised = controller_.heartbeat(exited(call, 4), start).fencing_token;
+    ASSERT_GT(raised, call.fencing_token);
+    EXPECT_EQ(controller_.heartbeat(exited(call, 3), start).fencing_token, raised);
+}
+
 // A repeated acknowledgement would otherwise raise the token with each heartbeat.
 TEST_F(DirectStartTest, TheTokenIsRaisedOnlyAfterADirectStart) {
     load_job("job-1", Priority::normal);
