tests: listen below the range of outgoing connections

Its port lay in the range from which the system takes ports of outgoing connections (32768 to 60999), and the process tests before it leave thousands of them closing (4,128 in TIME_WAIT were counted, 987 in the range of the test). Binding to such a port fails with EADDRINUSE, shown by a small program. Three tests chose ports there; they take others now. Checks are unchanged.

--- a/tests/leader_elector_test.cpp
+++ b/tests/leader_elector_test.cpp
@@ -18,7 +18,7 @@
 class LeaderElectorRestart : public testing::Test {
   protected:
     LeaderElectorRestart()
-        : port_(33000 + static_cast<int>(::getpid() % 2000)),
+        : port_(11'000 + static_cast<int>(::getpid() % 1000)),
           service_(port_),
           store_({"127.0.0.1", port_}) {}
 
--- a/tests/lone_controller_test.cpp
+++ b/tests/lone_controller_test.cpp
@@ -80,7 +80,8 @@
         return describe(client_.Post(path, body, "application/cbor"));
     }
 
-    const int port_ = 34000 + static_cast<int>(::getpid() % 9000) * 2;
+    // Below the range of outgoing connections: one that is still closing would keep its port taken.
+    const int port_ = 10'000 + static_cast<int>(::getpid() % 500) * 2;
     httplib::Client client_{"127.0.0.1", port_};
     pid_t pid_ = -1;
     std::string file_;
--- a/tests/peer_link_test.cpp
+++ b/tests/peer_link_test.cpp
@@ -44,7 +44,7 @@
 TEST(PeerLink, VersionMismatchIsReportedOnce) {
     // The server runs until the process ends, as in a controller.
     static TestServer& test = *new TestServer;
-    const int port = 33000 + static_cast<int>(::getpid() % 20000);
+    const int port = 12'000 + static_cast<int>(::getpid() % 1000);
     ASSERT_TRUE(test.server.bind({"127.0.0.1", port}));
     std::thread([] { test.server.run(); }).detach();
 
