--- a/tests/agent_command_client_test.cpp
+++ b/tests/agent_command_client_test.cpp
@@ -88,8 +88,7 @@
     AgentCommandClient client_{leader_state_};
 };
 
-// Guards against ran_cancelled: a start that waited for a sender thread was sent after its job had
-// been cancelled. Fails, see KNOWN-RED.txt.
+// Guards against ran_cancelled. Fails, see KNOWN-RED.txt.
 TEST(AgentCommandClient, DISABLED_AQueuedStartOfACancelledJobIsNotSent) {
     auto& calls = *new QueuedCalls();
     calls.start_job();
--- a/tests/direct_start_test.cpp
+++ b/tests/direct_start_test.cpp
@@ -122,8 +122,7 @@
     EXPECT_TRUE(controller_.machines().at("m1").assigned_tasks.empty());
 }
 
-// Guards against ran_twice: a copy of an answered start arrived after the acknowledgement, and the
-// agent had seen no higher token than the copy's.
+// Guards against ran_twice: a copy of an answered start arrived after the acknowledgement.
 TEST_F(DirectStartTest, AnAcknowledgementRaisesTheTokenOfADirectStart) {
     load_job("job-1", Priority::normal);
     const auto call = place_by_direct_call();
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -127,8 +127,7 @@
     EXPECT_EQ(cloud_.counts().oversized_messages, 0);
 }
 
-// Guards against ran_twice and ran_cancelled: a direct start that had been answered arrived again
-// after its task was acknowledged.
+// Guards against ran_twice: an answered direct start arrived again after the acknowledgement.
 TEST_F(Processes, RepeatedDirectCallsStartNoAcknowledgedTaskAgain) {
     for (int i = 0; i < 3; ++i) controllers_.start(i);
     auto spec = *wire::parse_job(job("job-many")).job;
