--- a/src/agents/agent_command_client.cpp
+++ b/src/agents/agent_command_client.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "agents/command_log.hpp"
+#include "core/model/fencing_token.hpp"
 #include "io/http_client.hpp"
 #include "wire/agent_messages.hpp"
 #include "wire/http_status.hpp"
@@ -78,7 +79,9 @@
         log_direct_commands(command, outcome);
 
         auto access = leader_state_.lock();
-        if (!access.controller() || access.controller()->term() != command.fencing_token) continue;
+        if (!access.controller() ||
+            access.controller()->term() != core::term_of(command.fencing_token))
+            continue;
         access.controller()->complete_direct_call(command, outcome,
                                                   heartbeat ? &*heartbeat : nullptr, Clock::now());
         access.request_write();
--- a/src/agents/heartbeat_handler.cpp
+++ b/src/agents/heartbeat_handler.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "agents/command_log.hpp"
+#include "core/model/fencing_token.hpp"
 #include "io/log.hpp"
 #include "wire/agent_messages.hpp"
 #include "wire/http_status.hpp"
@@ -22,6 +23,13 @@
     log_response_commands(heartbeat.machine, commands);
 }
 
+// An agent drops a response with a lower token than its own, whose generation its leader may have
+// raised. A leader of a version without generations could not reach it with a higher one.
+std::uint64_t token_for_renewal(const core::Heartbeat& heartbeat, std::uint64_t term) {
+    const auto seen = heartbeat.fencing_token;
+    return core::is_plain_term(seen) ? seen : std::max(seen, core::fencing_token(term));
+}
+
 }  // namespace
 
 HeartbeatHandler::HeartbeatHandler(const core::AgentTimings& timings,
@@ -60,8 +68,9 @@
     }
     // An agent that knows a newer fencing token would discard the response and keep sending to this
     // controller until its lease has expired.
-    if (heartbeat->fencing_token > status.term) {
-        leadership_.observe_newer_term(heartbeat->fencing_token);
+    const auto seen_term = core::term_of(heartbeat->fencing_token);
+    if (seen_term > status.term) {
+        leadership_.observe_newer_term(seen_term);
         return wire::unavailable("another controller acts");
     }
     {
@@ -95,11 +104,11 @@
 wire::Response HeartbeatHandler::handle_as_follower(const core::Heartbeat& heartbeat,
                                                     const std::string& body,
                                                     const leadership::LeadershipStatus& status) {
-    if (heartbeat.fencing_token > status.term)
-        leadership_.observe_newer_term(heartbeat.fencing_token);
-    if (status.leader.empty() || heartbeat.fencing_token > status.term)
+    const auto seen_term = core::term_of(heartbeat.fencing_token);
+    if (seen_term > status.term) leadership_.observe_newer_term(seen_term);
+    if (status.leader.empty() || seen_term > status.term)
         return {wire::http_status::service_unavailable, 0, wire::error_body("no view")};
-    const bool has_current_token = heartbeat.fencing_token == status.term;
+    const bool has_current_token = seen_term == status.term;
     bool redirect = false;
     {
         const std::lock_guard lock(mutex_);
@@ -125,7 +134,8 @@
     for (const auto& command : *stop_commands)
         io::log::info("cancelled_task_stopped_without_leader", "machine", heartbeat.machine, "job",
                       command.job, "task", command.index);
-    return {wire::http_status::ok, 0, wire::commands_body(term, *stop_commands)};
+    return {wire::http_status::ok, 0,
+            wire::commands_body(token_for_renewal(heartbeat, term), *stop_commands)};
 }
 
 }  // namespace bendspindle::agents
--- a/src/core/cluster/machine.hpp
+++ b/src/core/cluster/machine.hpp
@@ -10,7 +10,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -67,7 +66,8 @@
 /// (`agent_epoch`, `sequence`) never decreases while the machine is known: older messages are not
 /// applied.
 struct MachineFencing {
-    bool confirmed = false;  // a message of the machine has carried this term's fencing token
+    bool confirmed = false;  // a message of the machine has carried a fencing token of this term
+    std::uint32_t token_generation = 0;  // of the token that messages to the machine carry
     std::uint64_t agent_epoch = 0;
     std::uint64_t sequence = 0;
 };
@@ -101,9 +101,10 @@
 struct MachineDirectCalls {
     bool in_progress = false;
     TimePoint last_call_at{};
-    // Job and attempt of starts whose call was never answered. A delayed copy of the call may still
-    // arrive, and would run the task again if the agent had acknowledged and forgotten the attempt.
-    std::set<std::pair<std::string, std::uint64_t>> unanswered_starts;
+    // Starts were sent with the machine's present token. Answered or not, a copy of their call may
+    // still arrive, and the agent executes it unless it lists the attempt or has seen a higher
+    // token.
+    bool starts_under_present_token = false;
 };
 
 /// Tasks in the last task list that have no assignment.
@@ -111,8 +112,7 @@
     // In use by these tasks; all free resources if unknown. An exited task uses only the space of
     // its entry in the heartbeat.
     Resources resources;
-    // Of the exited tasks that may never be acknowledged in this agent epoch, because a copy of
-    // their start may still arrive or because the record of their job is unreadable.
+    // Of the exited tasks that are not acknowledged because the record of their job is unreadable.
     double unacknowledgeable_bytes = 0;
     bool has_unknown_tasks = false;  // of orphaned or quarantined jobs
     // Since when the machine has had orphaned tasks, whose jobs were in a terminal state before
--- a/src/core/cluster/machine_inventory.cpp
+++ b/src/core/cluster/machine_inventory.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "core/model/fencing_token.hpp"
+
 namespace bendspindle::core {
 
 namespace {
@@ -165,7 +167,7 @@
 void MachineInventory::observe(Machine& machine, const Heartbeat& heartbeat, Origin origin,
                                TimePoint now) {
     if (heartbeat.agent_epoch != machine.fencing.agent_epoch) {
-        machine.direct_calls.unanswered_starts.clear();
+        machine.direct_calls.starts_under_present_token = false;
         machine.reachability.outstanding_commands.clear();
         // Its lease expired for lack of responses although its heartbeats kept arriving and each
         // was answered: the network is partitioned one way.
@@ -187,7 +189,9 @@
     if (!heartbeat.reclaim_notice) machine.lifecycle.reclaim_at.reset();
 }
 
-void MachineInventory::confirm(Machine& machine, TimePoint now) {
+void MachineInventory::confirm(Machine& machine, std::uint64_t fencing_token, TimePoint now) {
+    machine.fencing.token_generation =
+        std::max(machine.fencing.token_generation, generation_of(fencing_token));
     if (!machine.fencing.confirmed) {
         // The fencing token of the machine was raised.
         machine.lifecycle.idle_since = now;
--- a/src/core/cluster/machine_inventory.hpp
+++ b/src/core/cluster/machine_inventory.hpp
@@ -76,8 +76,8 @@
     /// Applies what a message says about the machine itself. The message must be newer than any
     /// applied before.
     void observe(Machine& machine, const Heartbeat& heartbeat, Origin origin, TimePoint now);
-    /// Marks the machine as fenced after a message with this term's fencing token.
-    void confirm(Machine& machine, TimePoint now);
+    /// Marks the machine as fenced after a message with `fencing_token`, which is of this term.
+    void confirm(Machine& machine, std::uint64_t fencing_token, TimePoint now);
     /// Compares a new heartbeat with the commands in the response to the previous one.
     void check_acknowledgements(Machine& machine, const Heartbeat& heartbeat, TimePoint now);
     /// Records proof that messages to the machine arrive.
--- a/src/core/model/heartbeat.hpp
+++ b/src/core/model/heartbeat.hpp
@@ -1,6 +1,7 @@
 /// Messages between agents and the leader: heartbeats and task commands.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -65,4 +66,11 @@
     bool operator==(const TaskCommand&) const = default;
 };
 
+/// Returns whether one of the commands has this verb.
+[[nodiscard]] inline bool contains(const std::vector<TaskCommand>& commands,
+                                   TaskCommand::Verb verb) {
+    return std::any_of(commands.begin(), commands.end(),
+                       [verb](const TaskCommand& command) { return command.verb == verb; });
+}
+
 }  // namespace bendspindle::core
--- a/src/core/reconciliation/agent_gateway.cpp
+++ b/src/core/reconciliation/agent_gateway.cpp
@@ -1,5 +1,7 @@
 #include "core/reconciliation/agent_gateway.hpp"
 
+#include "core/model/fencing_token.hpp"
+
 namespace bendspindle::core {
 
 AgentGateway::AgentGateway(const Config& config, const MachineCatalog& catalog,
@@ -23,14 +25,14 @@
         if (command.verb == TaskCommand::Verb::stop && outcome != CommandOutcome::executed)
             direct_commands_.repeat_stop(command);
         if (command.verb == TaskCommand::Verb::start)
-            direct_commands_.settle_start(*machine, command, call, outcome, answer);
+            direct_commands_.settle_start(command, call, outcome, answer);
     }
-    if (!answer || answer->fencing_token > term_ || machine->has_seen(*answer)) return;
+    if (!answer || term_of(answer->fencing_token) > term_ || machine->has_seen(*answer)) return;
     // The call used a wrong agent epoch; it is repeated at once with the right one.
     if (answer->agent_epoch != call.agent_epoch) machine->direct_calls.last_call_at = TimePoint{};
     inventory_.observe(*machine, *answer, MachineInventory::Origin::direct_call, now);
-    if (answer->fencing_token < term_) return;
-    inventory_.confirm(*machine, now);
+    if (term_of(answer->fencing_token) < term_) return;
+    inventory_.confirm(*machine, answer->fencing_token, now);
     MachineInventory::mark_reachable(*machine);
     // These commands are discarded. The next heartbeat generates them again, and nothing here
     // depends on their delivery.
@@ -40,8 +42,11 @@
 }
 
 HeartbeatResponse AgentGateway::heartbeat(const Heartbeat& heartbeat, TimePoint now) {
-    if (heartbeat.fencing_token > term_) return {false, term_, {}};
-    HeartbeatResponse response{true, term_, {}};
+    HeartbeatResponse response{true, fencing_token(term_), {}};
+    if (term_of(heartbeat.fencing_token) > term_) {
+        response.leader_is_current = false;
+        return response;
+    }
     // The release of the machine is confirmed, so it is gone; this heartbeat was delayed in the
     // network.
     if (inventory_.removed(heartbeat.machine)) return response;
@@ -54,18 +59,19 @@
         known && known->has_seen(heartbeat)) {
         commands.add_required();
         response.commands = commands.take();
+        response.fencing_token = fencing_token(term_, known->fencing.token_generation);
         return response;
     }
     auto& machine = inventory_.add_or_update(heartbeat, now);
     inventory_.observe(machine, heartbeat, MachineInventory::Origin::heartbeat, now);
     // Guard against ran_twice: until the machine has seen this term's fencing token, a start of the
     // former term may still take effect after the task list was made.
-    if (heartbeat.fencing_token < term_) {
+    if (term_of(heartbeat.fencing_token) < term_) {
         commands.add_required();
         response.commands = commands.take();
         return response;
     }
-    inventory_.confirm(machine, now);
+    inventory_.confirm(machine, heartbeat.fencing_token, now);
     inventory_.check_acknowledgements(machine, heartbeat, now);
     reconciliation_.reconcile(machine, heartbeat, Reconciliation::Source::heartbeat, now, commands);
     if (machine.lifecycle.reclaim_at) {
@@ -76,6 +82,11 @@
     commands.add_required();
     command_planner_.add_ready_starts(machine, now, false, commands);
     response.commands = commands.take();
+    // Guard against ran_twice and ran_cancelled: the agent forgets an acknowledged attempt, and a
+    // copy of the direct call that started it would start it again.
+    if (contains(response.commands, TaskCommand::Verb::acknowledge))
+        DirectCommands::invalidate_starts(machine);
+    response.fencing_token = fencing_token(term_, machine.fencing.token_generation);
     if (!machine.assigned_tasks.empty()) machine.lifecycle.idle_since = now;
     machine.reachability.outstanding_commands = response.commands;
     return response;
--- a/src/core/reconciliation/direct_commands.cpp
+++ b/src/core/reconciliation/direct_commands.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/model/fencing_token.hpp"
+
 namespace bendspindle::core {
 
 namespace {
@@ -19,7 +21,7 @@
             continue;
         DirectCommand call{name,
                            machine.identity.address,
-                           term_,
+                           fencing_token(term_, machine.fencing.token_generation),
                            std::max<std::uint64_t>(machine.fencing.agent_epoch, 1),
                            {}};
         if ((machine.record.durable && !machine.fencing.confirmed) ||
@@ -37,6 +39,8 @@
             if (may_start) command_planner_.add_ready_starts(machine, now, true, commands);
             if (commands.empty()) continue;
             call.commands = commands.take();
+            if (contains(call.commands, TaskCommand::Verb::start))
+                machine.direct_calls.starts_under_present_token = true;
         }
         machine.direct_calls.in_progress = true;
         machine.direct_calls.last_call_at = now;
@@ -45,6 +49,12 @@
     return out;
 }
 
+void DirectCommands::invalidate_starts(Machine& machine) {
+    if (!machine.direct_calls.starts_under_present_token) return;
+    ++machine.fencing.token_generation;
+    machine.direct_calls.starts_under_present_token = false;
+}
+
 // A stop whose direct call failed is sent again in the next heartbeat response.
 void DirectCommands::repeat_stop(const TaskCommand& command) {
     auto* job = job_table_.find(command.job);
@@ -54,11 +64,8 @@
         placed->second.stop_sent_at = TimePoint{};
 }
 
-void DirectCommands::settle_start(Machine& machine, const TaskCommand& command,
-                                  const DirectCommand& call, CommandOutcome outcome,
-                                  const Heartbeat* answer) {
-    if (outcome == CommandOutcome::unknown)
-        machine.direct_calls.unanswered_starts.insert({command.job, command.attempt});
+void DirectCommands::settle_start(const TaskCommand& command, const DirectCommand& call,
+                                  CommandOutcome outcome, const Heartbeat* answer) {
     auto* job = job_table_.find(command.job);
     if (!job) return;
     const auto placed = job->assignments.find(command.index);
--- a/src/core/reconciliation/direct_commands.hpp
+++ b/src/core/reconciliation/direct_commands.hpp
@@ -1,7 +1,11 @@
 /// Commands that are sent to the address of an agent instead of waiting for its next heartbeat:
 /// which calls are due, and what the outcome of a call means for its commands. Called by
-/// `AgentGateway`. A call may arrive minutes late, so a start whose call was not answered may still
-/// take effect until the agent epoch of the machine changes (rule ran_twice).
+/// `AgentGateway`.
+///
+/// A call may arrive minutes late, and once more after it was answered (rules ran_twice,
+/// ran_cancelled). A start in it may take effect until the agent lists the attempt, has seen a
+/// higher fencing token, or has begun a new epoch. An acknowledgement removes the attempt from the
+/// list, so the response that carries it also raises the token of its machine.
 #pragma once
 
 #include <cstdint>
@@ -39,12 +43,21 @@
     /// Returns the calls that are due and marks them as in progress. Without `may_start` they carry
     /// no starts.
     [[nodiscard]] std::vector<DirectCommand> due(TimePoint now, bool may_start);
+    /// Returns whether exited tasks of the machine may be acknowledged now. While a call is in
+    /// progress that a raised token would invalidate, they wait for the next heartbeat.
+    [[nodiscard]] static bool may_acknowledge(const Machine& machine) {
+        return !machine.direct_calls.in_progress ||
+               !machine.direct_calls.starts_under_present_token;
+    }
+    /// Raises the machine's token if starts were sent with it: once the agent has seen the raised
+    /// token, no copy of these starts takes effect.
+    static void invalidate_starts(Machine& machine);
     /// Makes a stop due again that was not executed.
     void repeat_stop(const TaskCommand& command);
     /// Applies the outcome of a start. `answer` is the heartbeat in the call's response, or null.
     /// May destroy the job if it is terminal.
-    void settle_start(Machine& machine, const TaskCommand& command, const DirectCommand& call,
-                      CommandOutcome outcome, const Heartbeat* answer);
+    void settle_start(const TaskCommand& command, const DirectCommand& call, CommandOutcome outcome,
+                      const Heartbeat* answer);
 
   private:
     void withdraw_rejected_start(Job& job, std::uint32_t index, Assignment& assignment);
--- a/src/core/reconciliation/task_reconciliation.cpp
+++ b/src/core/reconciliation/task_reconciliation.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/model/message_size.hpp"
+#include "core/reconciliation/direct_commands.hpp"
 
 namespace bendspindle::core {
 
@@ -19,12 +20,6 @@
            is_commanded_attempt(it->second, task);
 }
 
-// Returns whether a copy of the task's start in a direct call may still arrive. It would start the
-// task again if the agent had acknowledged and forgotten the attempt.
-bool may_start_again(const Machine& machine, const ReportedTask& task) {
-    return machine.direct_calls.unanswered_starts.contains({task.job, task.attempt});
-}
-
 }  // namespace
 
 // Most heartbeats repeat the previous one. They change nothing unless a command is in flight or an
@@ -68,10 +63,10 @@
     // All open jobs are in memory before the first heartbeat is handled, so an unknown job is
     // terminal and its tasks are stopped.
     if (!job || task.index >= job->spec.tasks) {
-        // Guard against ran_cancelled: the copy may arrive half a minute after the cancellation.
-        if (exited && may_start_again(machine, task)) return;
-        commands.add(
-            command_for(exited ? TaskCommand::Verb::acknowledge : TaskCommand::Verb::stop, task));
+        if (exited)
+            acknowledge(machine, task, commands);
+        else
+            commands.add(command_for(TaskCommand::Verb::stop, task));
         return;
     }
     job->last_attempt = std::max(job->last_attempt, task.attempt);
@@ -115,7 +110,12 @@
         done && !job.is_terminal() && job.progress.phase[task.index] != TaskPhase::durable;
     const bool awaiting_terminal_write =
         done && job.terminal.state == TerminalState::done && !job.terminal.durable;
-    if (!awaiting_done_set && !awaiting_terminal_write && !may_start_again(machine, task))
+    if (!awaiting_done_set && !awaiting_terminal_write) acknowledge(machine, task, commands);
+}
+
+void Reconciliation::acknowledge(const Machine& machine, const ReportedTask& task,
+                                 CommandBatch& commands) {
+    if (DirectCommands::may_acknowledge(machine))
         commands.add(command_for(TaskCommand::Verb::acknowledge, task));
 }
 
@@ -215,7 +215,7 @@
         if (!is_assigned || !is_commanded_attempt(*assigned->second.assignment, task)) {
             const auto entry_bytes = static_cast<double>(max_task_entry_bytes(task.job));
             heartbeat_bytes += entry_bytes;
-            if (exited && (may_start_again(machine, task) || job_table_.quarantined(task.job)))
+            if (exited && job_table_.quarantined(task.job))
                 machine.untracked.unacknowledgeable_bytes += entry_bytes;
         }
         if (exited) continue;
--- a/src/core/reconciliation/task_reconciliation.hpp
+++ b/src/core/reconciliation/task_reconciliation.hpp
@@ -56,6 +56,8 @@
                         CommandBatch& commands);
     void reconcile_exit(Machine& machine, Job& job, const ReportedTask& task, TimePoint now,
                         CommandBatch& commands);
+    static void acknowledge(const Machine& machine, const ReportedTask& task,
+                            CommandBatch& commands);
     void adopt(Machine& machine, Job& job, const ReportedTask& task, TimePoint now);
     void reconcile_absent(Machine& machine, const std::vector<TaskKey>& assigned,
                           const Heartbeat& heartbeat, Source source, const Seen& seen,
--- a/tests/direct_start_test.cpp
+++ b/tests/direct_start_test.cpp
@@ -43,6 +43,24 @@
     void lose(const DirectCommand& call) {
         controller_.complete_direct_call(call, CommandOutcome::unknown, nullptr, start);
     }
+    // Returns a heartbeat of the call's task, which has exited.
+    static Heartbeat exited(const DirectCommand& call, std::uint64_t sequence) {
+        auto out = heartbeat(1, sequence);
+        const auto& start_command = call.commands.at(0);
+        out.tasks = {{start_command.job, start_command.index, start_command.attempt,
+                      TaskState::exited, ExitCause::stopped, false}};
+        return out;
+    }
+    // The agent executes the call and answers.
+    void execute(const DirectCommand& call, std::uint64_t sequence) {
+        auto answer = exited(call, sequence);
+        answer.tasks[0].state = TaskState::running;
+        answer.tasks[0].cause = ExitCause::none;
+        controller_.complete_direct_call(call, CommandOutcome::executed, &answer, start);
+    }
+    static bool acknowledges(const HeartbeatResponse& response) {
+        return contains(response.commands, TaskCommand::Verb::acknowledge);
+    }
     // The agent has begun a new epoch and executes nothing.
     void reject(const DirectCommand& call) {
         const auto answer = heartbeat(2, 1);
@@ -104,5 +122,75 @@
     EXPECT_TRUE(controller_.machines().at("m1").assigned_tasks.empty());
 }
 
+// Guards against ran_twice: a copy of an answered start arrived after the acknowledgement, and the
+// agent had seen no higher token than the copy's.
+TEST_F(DirectStartTest, AnAcknowledgementRaisesTheTokenOfADirectStart) {
+    load_job("job-1", Priority::normal);
+    const auto call = place_by_direct_call();
+    execute(call, 2);
+    const auto response = controller_.heartbeat(exited(call, 3), start);
+    ASSERT_TRUE(acknowledges(response));
+    EXPECT_GT(response.fencing_token, call.fencing_token);
+    EXPECT_EQ(term_of(response.fencing_token), term);
+}
+
+TEST_F(DirectStartTest, AnAcknowledgementRaisesTheTokenOfALostDirectStart) {
+    load_job("job-1", Priority::normal);
+    const auto call = place_by_direct_call();
+    lose(call);
+    const auto response = controller_.heartbeat(exited(call, 2), start);
+    ASSERT_TRUE(acknowledges(response));
+    EXPECT_GT(response.fencing_token, call.fencing_token);
+}
+
+TEST_F(DirectStartTest, CommandsAfterTheAcknowledgementCarryTheRaisedToken) {
+    load_job("job-1", Priority::normal);
+    const auto first = place_by_direct_call();
+    execute(first, 2);
+    const auto raised = controller_.heartbeat(exited(first, 3), start).fencing_token;
+    EXPECT_EQ(place_by_direct_call().fencing_token, raised);
+}
+
+// A repeated acknowledgement would otherwise raise the token with each heartbeat.
+TEST_F(DirectStartTest, TheTokenIsRaisedOnlyAfterADirectStart) {
+    load_job("job-1", Priority::normal);
+    const auto call = place_by_direct_call();
+    execute(call, 2);
+    const auto raised = controller_.heartbeat(exited(call, 3), start).fencing_token;
+    const auto repeated = controller_.heartbeat(exited(call, 4), start);
+    ASSERT_TRUE(acknowledges(repeated));
+    EXPECT_EQ(repeated.fencing_token, raised);
+}
+
+// Guards against rejected urgent starts: the raised token would overtake the call in progress.
+TEST_F(DirectStartTest, AnAcknowledgementWaitsForTheDirectCallInProgress) {
+    load_job("job-1", Priority::normal);
+    const auto first = place_by_direct_call();
+    execute(first, 2);
+    controller_.cancel("job-1", start);
+    const auto stop = controller_.direct_commands(start);
+    ASSERT_EQ(stop.size(), 1U);
+    const auto early = controller_.heartbeat(exited(first, 3), start);
+    EXPECT_FALSE(acknowledges(early));
+    EXPECT_EQ(early.fencing_token, first.fencing_token);
+    const auto answer = exited(first, 4);
+    controller_.complete_direct_call(stop[0], CommandOutcome::executed, &answer, start);
+    EXPECT_TRUE(acknowledges(controller_.heartbeat(exited(first, 5), start)));
+}
+
+TEST(FencingToken, TokensOfANewerTermExceedAllOfAnOlderOne) {
+    EXPECT_GT(fencing_token(8), fencing_token(7, UINT32_MAX));
+    EXPECT_GT(fencing_token(7, 1), fencing_token(7));
+    EXPECT_EQ(term_of(fencing_token(7, UINT32_MAX)), 7U);
+    EXPECT_EQ(generation_of(fencing_token(7, 3)), 3U);
+}
+
+// The token of a version without generations.
+TEST(FencingToken, APlainTermIsBelowAllTokensOfItsTerm) {
+    EXPECT_GT(fencing_token(7), 7U);
+    EXPECT_EQ(term_of(7), 7U);
+    EXPECT_EQ(generation_of(7), 0U);
+}
+
 }  // namespace
 }  // namespace bendspindle::core
--- a/tests/standin/leader_change_simulation.hpp
+++ b/tests/standin/leader_change_simulation.hpp
@@ -127,6 +127,9 @@
               const std::vector<core::TaskCommand>& commands);
     void expire(Machine& machine);
     void deliver_call(const std::shared_ptr<TermsNode>& from, const core::DirectCommand& call);
+    // As the agent does: nothing under a lower token or for another agent epoch.
+    core::CommandOutcome execute_call(Machine& machine, const core::DirectCommand& call);
+    core::Seconds repeat_delay();
     bool hears(const Machine& machine) const;
 
     void cancel(const std::string& job);
@@ -141,6 +144,7 @@
     core::Config config_;
     std::vector<core::MachineType> types_;
     std::mt19937 random_;
+    std::mt19937 repeat_random_;  // apart, so that a seed stands for the same schedule as before
     Timeline timeline_;
     SimulatedService service_;
     std::shared_ptr<Timeline::Life> outside_ = std::make_shared<Timeline::Life>();
--- a/tests/standin/simulated_cluster.hpp
+++ b/tests/standin/simulated_cluster.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "core/controller.hpp"
+#include "standin/repeated_messages.hpp"
 #include "standin/scenario_arguments.hpp"
 #include "standin/simulated_agent.hpp"
 
@@ -32,6 +33,11 @@
         core::Heartbeat heartbeat;
     };
 
+    static constexpr unsigned command_seed = 1;
+    static constexpr unsigned heartbeat_seed = 2;
+    static constexpr double min_repeat_delay_s = 0.7;
+    static constexpr double max_repeat_delay_s = 40;
+
     using Verbs = std::map<std::string, void (*)(SimulatedCluster&, const ScenarioArguments&)>;
     using Expectations =
         std::map<std::string, bool (*)(const SimulatedCluster&, const ScenarioArguments&)>;
@@ -77,6 +83,8 @@
                          const std::vector<core::TaskCommand>& commands) const;
     void record_decision(const std::string& decision) const;
     void deliver_command(const core::DirectCommand& command, bool answered);
+    void deliver_repeated_messages();
+    bool reaches(const core::DirectCommand& command) const;
     void advance(SimulatedAgent& agent, double dt);
     void pause_leader(double seconds);
     void send_direct_commands(core::Controller& from);
@@ -161,6 +169,12 @@
     };
     std::vector<DelayedCommandResponse> delayed_command_responses_;
     std::vector<core::DirectCommand> delayed_commands_;
+    // Copies of messages that were answered.
+    RepeatedMessages<core::DirectCommand> repeated_commands_{command_seed, min_repeat_delay_s,
+                                                             max_repeat_delay_s};
+    RepeatedMessages<DelayedHeartbeat> repeated_heartbeats_{heartbeat_seed, min_repeat_delay_s,
+                                                            max_repeat_delay_s};
+    bool repeat_heartbeats_ = true;
     std::vector<std::string> start_order_;
     std::map<std::string, std::map<std::uint32_t, bool>> completed_;
     bool cloud_up_ = true;
--- a/tests/standin/simulated_cluster_scenario.cpp
+++ b/tests/standin/simulated_cluster_scenario.cpp
@@ -156,7 +156,9 @@
          [](Cluster& c, const Arguments& a) { c.agent(a).outbound_unreachable = true; }},
         {"heal-outbound",
          [](Cluster& c, const Arguments& a) { c.agent(a).outbound_unreachable = false; }},
-        // Messages that are delayed or lost.
+        // Messages that are repeated, delayed or lost.
+        {"repeat-heartbeats",
+         [](Cluster& c, const Arguments& a) { c.repeat_heartbeats_ = a.at(1) == "yes"; }},
         {"delay-response",
          [](Cluster& c, const Arguments& a) { c.agent(a).response_delayed = true; }},
         {"delay-command-response",
