Log the signal and the request when a process ends by a signal

Neither the signal nor the request that ended the process could be read anywhere.

Change: SIGSEGV, SIGBUS, SIGFPE, SIGILL and SIGABRT write `process_ended signal=... request=...` before they end the process. The handlers run on a stack of their own for each thread, so that they also run after a stack overflow. Handlers of sanitizers are left alone.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -15,6 +15,7 @@
 #include "daemon/client.hpp"
 #include "daemon/service.hpp"
 #include "daemon/stop_signal.hpp"
+#include "io/crash_report.hpp"
 
 namespace {
 
@@ -70,6 +71,7 @@
         config::load_fair_share_settings(admission_file, settings);
     limit_thread_memory(operator_settings);
     set_up_logging(operator_settings);
+    io::install_crash_report();
     daemon::install_stop_signal_handlers();
     daemon::Service service(std::move(settings), std::move(operator_settings));
     return service.run() ? 0 : 1;
--- a/src/io/connection_pool.cpp
+++ b/src/io/connection_pool.cpp
@@ -4,6 +4,8 @@
 #include <thread>
 #include <utility>
 
+#include "io/crash_report.hpp"
+
 namespace bendspindle::io {
 
 thread_local bool ConnectionPool::rejecting_ = false;
@@ -43,6 +45,7 @@
 }
 
 void ConnectionPool::serve_connections() {
+    const SignalStack signal_stack;
     std::unique_lock lock(mutex_);
     for (;;) {
         ++idle_;
