Bound the head of HTTP messages before the HTTP library reads it

The caller got no answer and repeated the request at the next controller, so one caller ended all of them, and again once they were back.

Cause: recursion on input whose size nothing bounds. The route patterns are regular expressions that recurse for each character, on thread stacks of 256 KiB; the library matches Range headers, and the status lines of responses, the same way.

Change: `MessageHeadReader` reads the start line and the headers of each message within limits and passes on only those that the project uses, so that the library sees no Range, Content-Type or Content-Encoding, and no reason phrase. Requests are dispatched by comparing paths; the library sees one constant path. Bodies and the time for a message are bounded as transmitted. Past a limit a request gets 414, 431 or 400 and the usual error body; an id that cannot exist still gets 404. The client side (store, cloud, agents) reads responses through the same stream. An exception of a handler is logged and costs its request.

--- a/src/daemon/http_routes.hpp
+++ b/src/daemon/http_routes.hpp
@@ -19,8 +19,8 @@
     const api::Health& health;
 };
 
-/// Registers all routes. Call before the server listens. Handlers are called concurrently on the
-/// server's threads.
-void add_routes(io::HttpServer& http, HttpHandlers handlers);
+/// Answers a request by its method and path: 404 for an unknown path, 405 for a known path with
+/// another method. May be called concurrently.
+[[nodiscard]] wire::Response route(const HttpHandlers& handlers, const io::HttpRequest& request);
 
 }  // namespace bendspindle::daemon
--- a/src/daemon/service.cpp
+++ b/src/daemon/service.cpp
@@ -9,6 +9,7 @@
 #include "daemon/http_routes.hpp"
 #include "daemon/shutdown.hpp"
 #include "daemon/stop_signal.hpp"
+#include "io/crash_report.hpp"
 #include "io/log.hpp"
 #include "leadership/peer_sockets.hpp"
 
@@ -43,7 +44,10 @@
 // running destructors (`shut_down_on_signal`).
 template <typename Body>
 void start_detached(Body body) {
-    std::thread(std::move(body)).detach();
+    std::thread([body = std::move(body)]() mutable {
+        const io::SignalStack signal_stack;
+        body();
+    }).detach();
 }
 
 }  // namespace
@@ -80,8 +84,10 @@
                      replication_, leader_state_) {}
 
 bool Service::run() {
-    io::HttpServer http(http_limits(settings_, operator_settings_));
-    add_routes(http, {job_submission_, job_status_, job_cancellation_, heartbeats_, health_});
+    const HttpHandlers handlers{job_submission_, job_status_, job_cancellation_, heartbeats_,
+                                health_};
+    io::HttpServer http(http_limits(settings_, operator_settings_),
+                        [handlers](const auto& request) { return route(handlers, request); });
     io::PeerServer peer_server(
         [this](const auto& request) { return peer_requests_.handle(request); },
         [](const auto& reason) { io::log::info("peer_refused", "cause", reason); });
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -4,6 +4,8 @@
 
 #include <charconv>
 
+#include "io/connection_stream.hpp"
+
 namespace bendspindle::io {
 
 namespace {
@@ -11,6 +13,10 @@
 constexpr std::chrono::milliseconds connect_timeout{1000};
 constexpr const char* content_type = "application/cbor";
 constexpr std::size_t max_idle_connections = 4;
+// A watch returns all changes that the store still holds, which is the largest response.
+constexpr std::size_t max_response_bytes = 8 * 1024 * 1024;
+// A response may take this many times the timeout for each wait until its last byte has arrived.
+constexpr int response_time_factor = 4;
 
 std::optional<HttpResponse> to_response(httplib::Result result) {
     if (!result) return std::nullopt;
@@ -19,6 +25,26 @@
 
 }  // namespace
 
+// A client of the library that reads responses through `ConnectionStream`, within its limits.
+class HttpClient::Connection : public httplib::ClientImpl {
+  public:
+    using httplib::ClientImpl::ClientImpl;
+
+    // Sets the time for each wait within a response.
+    void set_response_timeout(std::chrono::milliseconds timeout) { response_timeout_ = timeout; }
+
+  private:
+    bool process_socket(const Socket& socket,
+                        std::function<bool(httplib::Stream&)> exchange) override {
+        ConnectionStream stream(
+            socket.sock, MessageKind::response,
+            {response_timeout_, response_timeout_ * response_time_factor, max_response_bytes});
+        return exchange(stream);
+    }
+
+    std::chrono::milliseconds response_timeout_{0};
+};
+
 std::optional<Endpoint> parse_endpoint(const std::string& text) {
     const auto colon = text.rfind(':');
     if (colon == std::string::npos || colon == 0) return std::nullopt;
@@ -35,8 +61,9 @@
 
 HttpClient::~HttpClient() = default;
 
-std::unique_ptr<httplib::Client> HttpClient::acquire(std::chrono::milliseconds extra_timeout) {
-    std::unique_ptr<httplib::Client> client;
+std::unique_ptr<HttpClient::Connection> HttpClient::acquire(
+    std::chrono::milliseconds extra_timeout) {
+    std::unique_ptr<Connection> client;
     {
         const std::lock_guard lock(mutex_);
         if (!idle_.empty()) {
@@ -45,17 +72,16 @@
         }
     }
     if (!client) {
-        client = std::make_unique<httplib::Client>(endpoint_.host, endpoint_.port);
+        client = std::make_unique<Connection>(endpoint_.host, endpoint_.port);
         client->set_keep_alive(true);
         client->set_tcp_nodelay(true);
         client->set_connection_timeout(connect_timeout);
-        client->set_write_timeout(timeout_);
     }
-    client->set_read_timeout(timeout_ + extra_timeout);
+    client->set_response_timeout(timeout_ + extra_timeout);
     return client;
 }
 
-void HttpClient::release(std::unique_ptr<httplib::Client> client) {
+void HttpClient::release(std::unique_ptr<Connection> client) {
     const std::lock_guard lock(mutex_);
     if (idle_.size() < max_idle_connections) idle_.push_back(std::move(client));
 }
--- a/src/io/http_client.hpp
+++ b/src/io/http_client.hpp
@@ -10,10 +10,6 @@
 #include <string>
 #include <vector>
 
-namespace httplib {
-class Client;
-}
-
 namespace bendspindle::io {
 
 /// A host and port, written HOST:PORT in settings and by agents.
@@ -39,9 +35,9 @@
     HttpClient(const HttpClient&) = delete;
     HttpClient& operator=(const HttpClient&) = delete;
 
-    /// Each call returns nullopt if no response arrived; the request may have been executed or may
-    /// still be executed. `extra_timeout` is added to the timeout, for calls that the server holds
-    /// open.
+    /// Each call returns nullopt if no response arrived within the limits on its time and size; the
+    /// request may have been executed or may still be executed. `extra_timeout` is added to the
+    /// timeout, for calls that the server holds open.
     std::optional<HttpResponse> get(
         const std::string& path,
         std::chrono::milliseconds extra_timeout = std::chrono::milliseconds{0});
@@ -49,13 +45,15 @@
     std::optional<HttpResponse> erase(const std::string& path);
 
   private:
-    std::unique_ptr<httplib::Client> acquire(std::chrono::milliseconds extra_timeout);
-    void release(std::unique_ptr<httplib::Client> client);
+    class Connection;
+
+    std::unique_ptr<Connection> acquire(std::chrono::milliseconds extra_timeout);
+    void release(std::unique_ptr<Connection> client);
 
     Endpoint endpoint_;
     std::chrono::milliseconds timeout_;
     std::mutex mutex_;  // guards idle_
-    std::vector<std::unique_ptr<httplib::Client>> idle_;
+    std::vector<std::unique_ptr<Connection>> idle_;
 };
 
 }  // namespace bendspindle::io
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -18,13 +18,12 @@
     HttpServerLimits limits;
     limits.max_threads = 2;
     limits.max_waiting = 3;
-    HttpServer server(limits);
     std::atomic<bool> release_handlers{false};
     std::atomic<int> in_handler{0};
-    server.Get("/", [&](const httplib::Request&, httplib::Response& response) {
+    HttpServer server(limits, [&](const HttpRequest&) {
         ++in_handler;
         while (!release_handlers) std::this_thread::sleep_for(1ms);
-        response.status = 200;
+        return wire::Response{wire::http_status::ok, 0, {}};
     });
     ASSERT_TRUE(server.bind("127.0.0.1", port));
     std::thread server_thread([&] { server.listen_after_bind(); });
--- a/tests/standin/controllers.hpp
+++ b/tests/standin/controllers.hpp
@@ -84,32 +84,30 @@
     }
     ~Controllers() {
         for (int i = 0; i < 3; ++i) kill(i);
+        kill_alone();
         std::filesystem::remove_all(directory_);
     }
     std::vector<int> ports() const { return {base_, base_ + 1, base_ + 2}; }
     void start(int i) {
-        const auto file = (directory_ / ("c" + std::to_string(i))).string();
-        const auto own = (directory_ / "operator").string();
-        const char* program = program_of(i);
-        pids_[static_cast<std::size_t>(i)] = ::fork();
-        if (pids_[static_cast<std::size_t>(i)] == 0) {
-            ::execl(program, program, "serve", "--config", file.c_str(), "--operator", own.c_str(),
-                    nullptr);
-            ::_exit(127);
-        }
+        pids_[static_cast<std::size_t>(i)] = run(program_of(i), "c" + std::to_string(i));
     }
-    // True if it was still running: a controller never ends by itself.
-    bool kill(int i) {
-        auto& pid = pids_[static_cast<std::size_t>(i)];
-        if (pid <= 0) return true;
-        const bool running = ::waitpid(pid, nullptr, WNOHANG) == 0;
-        if (running) {
-            ::kill(pid, SIGKILL);
-            ::waitpid(pid, nullptr, 0);
-        }
-        pid = -1;
-        return running;
+    // Starts a controller of another deployment, whose store and cloud are at this port.
+    void start_alone(int services_port) {
+        std::ifstream in(directory_ / "c0");
+        auto settings = Value::parse(in);
+        const auto services = "127.0.0.1:" + std::to_string(services_port);
+        settings["node_name"] = "alone";
+        settings["listen"] = address(3);
+        settings["internal_addr"] = address(13);
+        settings["siblings"] = Value::array();
+        settings["external"] = {{"state", services}, {"cloud", services}};
+        std::ofstream(directory_ / "alone") << settings.dump();
+        alone_ = run(PROGRAM, "alone");
     }
+    bool kill_alone() { return kill_if_running(alone_); }
+    pid_t pid(int i) const { return pids_[static_cast<std::size_t>(i)]; }
+    // True if it was still running: a controller never ends by itself.
+    bool kill(int i) { return kill_if_running(pids_[static_cast<std::size_t>(i)]); }
     // Stands still until it goes on.
     void stand_still(int i) { ::kill(pids_[static_cast<std::size_t>(i)], SIGSTOP); }
     void go_on(int i) { ::kill(pids_[static_cast<std::size_t>(i)], SIGCONT); }
@@ -129,6 +127,28 @@
     std::string address(int offset) const { return "127.0.0.1:" + std::to_string(base_ + offset); }
 
   private:
+    pid_t run(const char* program, const std::string& settings) const {
+        const auto file = (directory_ / settings).string();
+        const auto own = (directory_ / "operator").string();
+        const auto pid = ::fork();
+        if (pid == 0) {
+            ::execl(program, program, "serve", "--config", file.c_str(), "--operator", own.c_str(),
+                    nullptr);
+            ::_exit(127);
+        }
+        return pid;
+    }
+    static bool kill_if_running(pid_t& pid) {
+        if (pid <= 0) return true;
+        const bool running = ::waitpid(pid, nullptr, WNOHANG) == 0;
+        if (running) {
+            ::kill(pid, SIGKILL);
+            ::waitpid(pid, nullptr, 0);
+        }
+        pid = -1;
+        return running;
+    }
+
     static constexpr int nobody = 29;  // no one listens there
 
     // A roll-out has two versions side by side: BENDSPINDLE_FIRST_PROGRAM names the program of
@@ -141,6 +161,7 @@
     int base_;
     std::filesystem::path directory_;
     std::vector<pid_t> pids_;
+    pid_t alone_ = -1;
 };
 
 }  // namespace bendspindle::standin
--- a/tests/standin/state_service.cpp
+++ b/tests/standin/state_service.cpp
@@ -318,7 +318,12 @@
 
 void StateService::transact_in_time(Front& front, const httplib::Request& request,
                                     httplib::Response& response) {
-    const auto fate = fate_of_transaction(wire::parse_cbor(request.body).value());
+    const auto body = wire::parse_cbor(request.body);
+    if (!body) {
+        ++malformed_requests_;
+        return answer(response, 400, {{"error", "not CBOR"}});
+    }
+    const auto fate = fate_of_transaction(*body);
     std::this_thread::sleep_for(fate.before);
     compare_and_swap(front, request, response);
     std::this_thread::sleep_for(fate.after);
--- a/tests/standin/state_service.hpp
+++ b/tests/standin/state_service.hpp
@@ -103,6 +103,8 @@
     int troubled() const { return troubled_; }
     /// So many transactions, or values in them, were larger than the protocol allows; they got 400.
     int oversized_transactions() const { return oversized_transactions_; }
+    /// So many transactions were not CBOR as the protocol has it; they got 400.
+    int malformed_requests() const { return malformed_requests_; }
     /// What was asked for at that port.
     StateCounts counts(std::size_t port) const;
     /// A key's value as it stands; nullopt: there is none.
@@ -192,6 +194,7 @@
     std::mt19937 random_;
     std::atomic<int> troubled_{0};
     std::atomic<int> oversized_transactions_{0};
+    std::atomic<int> malformed_requests_{0};
     Bucket requests_;
     Bucket writes_;
     std::atomic<bool> ending_{false};
