Check CBOR without recursion before it is parsed

What callers saw: a body of nested strings of indefinite length (bytes 0x7f or 0x5f, also inside a map) ended the controller with SIGSEGV: a submission, a heartbeat, a frame of a peer. The caller got no answer and repeated the request at the next controller.

Cause: the same class as long paths, recursion on input. The limit on the depth of maps and lists did not cover strings, whose chunks the library reads by calling itself; some thousand levels fill a stack of 256 KiB, and a body has room for 65,000.

Change: `is_valid_cbor` checks the structure of the whole value in one pass, with an explicit stack of at most 12 containers, and the parser gets only what passed: chunks are not nested, lengths fit into the bytes that follow, keys are text. It takes the place of the former limit on the depth.

--- a/src/wire/cbor.cpp
+++ b/src/wire/cbor.cpp
@@ -1,47 +1,16 @@
 #include "wire/cbor.hpp"
 
-namespace bendspindle::wire {
-
-namespace {
-
-constexpr int max_depth = 12;
-
-// Builds the document, but rejects nesting deeper than that of any message of the protocol: the
-// parser recurses, and 64 KiB of opening brackets would overflow a small thread stack. Also rejects
-// a declared length that exceeds any body: for such a length the base class throws, even if
-// exceptions are disabled.
-class BoundedBuilder : public nlohmann::detail::json_sax_dom_parser<Value> {
-  public:
-    using Base = nlohmann::detail::json_sax_dom_parser<Value>;
-    explicit BoundedBuilder(Value& root) : Base(root, false) {}
-    bool start_object(std::size_t size) {
-        return is_plausible(size) && ++depth_ <= max_depth && Base::start_object(size);
-    }
-    bool end_object() { return --depth_, Base::end_object(); }
-    bool start_array(std::size_t size) {
-        return is_plausible(size) && ++depth_ <= max_depth && Base::start_array(size);
-    }
-    bool end_array() { return --depth_, Base::end_array(); }
-    bool binary(Value::binary_t&) { return false; }
+#include "wire/cbor_validation.hpp"
 
-  private:
-    static bool is_plausible(std::size_t size) {
-        constexpr auto indefinite = static_cast<std::size_t>(-1);
-        constexpr std::size_t max_response_bytes = 4 * 1024 * 1024;
-        return size == indefinite || size <= max_response_bytes;
-    }
-    int depth_ = 0;
-};
-
-}  // namespace
+namespace bendspindle::wire {
 
 std::optional<Value> parse_cbor(std::string_view body) {
-    if (body.empty()) return std::nullopt;
-    Value out;
-    BoundedBuilder builder(out);
-    if (!Value::sax_parse(body.begin(), body.end(), &builder, Value::input_format_t::cbor))
-        return std::nullopt;
-    return out;
+    if (!is_valid_cbor(body)) return std::nullopt;
+    constexpr bool strict = true;
+    constexpr bool allow_exceptions = false;
+    auto value = Value::from_cbor(body.begin(), body.end(), strict, allow_exceptions);
+    if (value.is_discarded()) return std::nullopt;
+    return value;
 }
 
 std::string to_cbor(const Value& value) {
--- a/src/wire/cbor.hpp
+++ b/src/wire/cbor.hpp
@@ -18,8 +18,9 @@
 /// protocol's messages is larger as CBOR.
 constexpr std::size_t max_request_bytes = core::max_message_bytes;
 
-/// Parses CBOR with a limit on the nesting depth. Returns nullopt if the body is malformed or
-/// truncated. Never throws, because the body comes from an untrusted sender.
+/// Parses CBOR that `is_valid_cbor` (wire/cbor_validation.hpp) accepts. Returns nullopt for any
+/// other body. Never throws, because the body comes from an untrusted sender. Of a name that a map
+/// holds twice, the last value counts.
 std::optional<Value> parse_cbor(std::string_view body);
 [[nodiscard]] std::string to_cbor(const Value& value);
 /// Returns the size of the value as JSON text, the form to which the protocol's limits apply.
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -114,8 +114,7 @@
     EXPECT_FALSE(parse_job("{\"uid\":1}").job);
 }
 
-// Without the depth limit of BoundedBuilder, a body full of opening brackets overflows the stack of
-// a thread.
+// Without a limit on the depth, a body full of opening brackets overflows the stack of a thread.
 TEST(Codec, DeepNestingIsRejected) {
     EXPECT_FALSE(parse_cbor(std::string(max_request_bytes, '\x81')));
     EXPECT_FALSE(parse_cbor(std::string(max_request_bytes, '\x9f')));
