Accept a job only if its record can be stored, and answer finally if not

Cause: a check in one place and not in another. The reader of CBOR took any bytes as text; the store refuses such a record (400). The leader set the write aside and tried it again every 20 s for ever (`write_quarantined`), kept the job in memory, and told its user 503 each time; a follower told 503 as well.

Change: `is_utf8` (utf8proc) is part of the check of all CBOR that is read, for values and names, known or not, at any depth; so every controller answers 400 at once, in any state of the store, and the same text from agents, the cloud, the store and peers is refused. What the store still refuses for good is final: a job that was never recorded is forgotten and its user gets 400, at the leader and at followers, unless a record exists; a job that may have been recorded by a transaction without a response stays known, as one that was recorded.

JobAdmission.AdmitsTheOthersWhenOneIsCalledMalformed expects `refused` in place of `failed`, the outcome that this change tells apart; StateWriter.WritesTheOthersWhenOneIsCalledMalformed expects the refused job to be forgotten in place of being kept without a record.

--- a/src/api/job_submission.cpp
+++ b/src/api/job_submission.cpp
@@ -17,6 +17,11 @@
 // was sent no other controller can have returned a newer state.
 constexpr std::chrono::milliseconds max_created_state_age{50};
 
+constexpr JobSubmissionHandler::Refusal never_fits{wire::http_status::unprocessable,
+                                                   "the job can never run"};
+constexpr JobSubmissionHandler::Refusal cannot_be_recorded{
+    wire::http_status::bad_request, "the state service refuses the job's record"};
+
 }  // namespace
 
 JobSubmissionHandler::JobSubmissionHandler(const config::Settings& settings,
@@ -55,7 +60,7 @@
         return wire::unavailable("machine types are not known yet");
     if (feasibility == core::Feasibility::never_fits && !access.controller()->knows(id)) {
         access.unlock();
-        return answer_never_fits(id);
+        return answer_unless_recorded(id, never_fits);
     }
     const bool is_new =
         access.controller()->accept(spec, std::chrono::system_clock::now(), Clock::now());
@@ -74,6 +79,10 @@
                 response.status = wire::http_status::created;
             return response;
         }
+        if (controller->was_refused(id)) {
+            access.unlock();
+            return answer_unless_recorded(id, cannot_be_recorded);
+        }
     }
     access.unlock();
     // The job has already ended, or a write was not committed in time.
@@ -86,11 +95,14 @@
         core::check_feasibility(spec, settings_.teams, leader_state_.machine_types());
     if (feasibility == core::Feasibility::not_ready)
         return wire::unavailable("machine types are not known yet");
-    if (feasibility == core::Feasibility::never_fits) return answer_never_fits(spec.id);
+    if (feasibility == core::Feasibility::never_fits)
+        return answer_unless_recorded(spec.id, never_fits);
     core::JobRecord record;
     record.spec = spec;
     record.submitted = std::chrono::system_clock::now();
     const auto answer = admission_.admit(record);
+    if (answer.outcome == state::JobAdmission::Result::refused)
+        return answer_unless_recorded(spec.id, cannot_be_recorded);
     if (answer.outcome == state::JobAdmission::Result::failed)
         return wire::unavailable("the job could not be recorded in time");
     const bool is_new = answer.outcome == state::JobAdmission::Result::admitted;
@@ -107,11 +119,13 @@
     return response;
 }
 
-// The job may have been admitted before the teams or machine types changed, and stays admitted.
-wire::Response JobSubmissionHandler::answer_never_fits(const std::string& id) {
+// The job may have been admitted with another body, or before the teams or machine types changed,
+// and stays admitted.
+wire::Response JobSubmissionHandler::answer_unless_recorded(const std::string& id,
+                                                            const Refusal& refusal) {
     auto response = records_.read(id, TaskCounts::omitted);
     if (response.status == wire::http_status::not_found)
-        return {wire::http_status::unprocessable, 0, wire::error_body("the job can never run")};
+        return {refusal.status, 0, wire::error_body(refusal.reason)};
     return response;
 }
 
--- a/src/api/job_submission.hpp
+++ b/src/api/job_submission.hpp
@@ -25,14 +25,20 @@
                          state::LeaderState& leader_state, state::JobAdmission& admission,
                          JobRecords& records);
 
-    /// Returns 201 for a new job, 200 for a known one, 400 for a malformed request, 422 for a job
-    /// that can never run, or 503.
+    /// The response for a job that is not accepted.
+    struct Refusal {
+        int status;
+        const char* reason;
+    };
+
+    /// Returns 201 for a new job, 200 for a known one, 400 for a malformed request or a job that
+    /// cannot be recorded, 422 for a job that can never run, or 503.
     [[nodiscard]] wire::Response handle(const std::string& body);
 
   private:
     wire::Response admit_as_leader(const core::JobSpec& spec);
     wire::Response admit_as_follower(const core::JobSpec& spec);
-    wire::Response answer_never_fits(const std::string& id);
+    wire::Response answer_unless_recorded(const std::string& id, const Refusal& refusal);
 
     const config::Settings& settings_;
     const leadership::Leadership& leadership_;
--- a/src/core/cluster/job_table.cpp
+++ b/src/core/cluster/job_table.cpp
@@ -11,6 +11,7 @@
 // The term in the high bits keeps the attempt numbers of different terms distinct, whatever a
 // former leader still had in progress.
 constexpr unsigned attempt_bits = 32;
+constexpr std::size_t max_refused_ids = 256;
 
 }  // namespace
 
@@ -86,9 +87,22 @@
     job->submitted = submitted;
     job->accepted_at = now;
     job->accepted_this_term = true;
+    std::erase(refused_, spec.id);
     mark_changed(add(std::move(job)), now);
 }
 
+void JobTable::refuse(const std::string& id) {
+    auto* job = find(id);
+    if (!job || job->record.durable || !job->assignments.empty()) return;
+    forget(*job);
+    refused_.push_back(id);
+    if (refused_.size() > max_refused_ids) refused_.pop_front();
+}
+
+bool JobTable::was_refused(const std::string& id) const {
+    return std::find(refused_.begin(), refused_.end(), id) != refused_.end();
+}
+
 std::optional<JobStatus> JobTable::status(const std::string& id) const {
     const auto* job = find(id);
     if (!job || !job->record.durable) return std::nullopt;
--- a/src/core/cluster/job_table.hpp
+++ b/src/core/cluster/job_table.hpp
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -105,6 +106,13 @@
     /// nothing if the job is unknown.
     void set_mod_revision(const std::string& id, std::uint64_t mod_revision);
 
+    /// Forgets a job that has no record, because the key-value store refuses its record for good.
+    /// Does nothing if the job is unknown or recorded.
+    void refuse(const std::string& id);
+    /// Returns whether `refuse` forgot a job of this id, and none was accepted since. Only the
+    /// last ones are remembered, for the user requests that wait for their records.
+    [[nodiscard]] bool was_refused(const std::string& id) const;
+
     /// Marks a job whose record cannot be read; its tasks are left alone.
     void quarantine(const std::string& id) { quarantined_.insert(id); }
     [[nodiscard]] bool quarantined(const std::string& id) const {
@@ -131,6 +139,7 @@
     Jobs jobs_;
     std::unordered_map<std::string, Job*> by_id_;
     std::set<std::string> quarantined_;
+    std::deque<std::string> refused_;  // oldest first
 };
 
 }  // namespace bendspindle::core
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -77,6 +77,12 @@
     }
     /// Returns whether the job's record is in the key-value store.
     [[nodiscard]] bool durable(const std::string& id) const;
+    /// Forgets a job without a record, because the key-value store refuses its record for good.
+    void refuse(const std::string& id) { job_table_.refuse(id); }
+    /// Returns whether `refuse` forgot a job of this id recently and none was accepted since.
+    [[nodiscard]] bool was_refused(const std::string& id) const {
+        return job_table_.was_refused(id);
+    }
     /// Returns whether tasks of the job may be on machines that have not reported this term's
     /// fencing token.
     [[nodiscard]] bool may_have_unfenced_tasks(const std::string& id) const;
--- a/src/state/job_admission.cpp
+++ b/src/state/job_admission.cpp
@@ -121,6 +121,7 @@
     const std::lock_guard lock(mutex_);
     for (const auto& entry : batch) {
         entry->sent_at = sent_at;
+        entry->possibly_recorded |= result.outcome == StoreStatus::unknown;
         const bool exists = condition_failed(result, keys::job(entry->id)) ||
                             condition_failed(result, keys::ended_job(entry->id));
         if (result.outcome == StoreStatus::ok)
@@ -128,7 +129,7 @@
         else if (result.outcome == StoreStatus::conflict && exists)
             entry->outcome = Result::already_recorded;
         else if (result.outcome == StoreStatus::invalid && batch.size() == 1)
-            entry->outcome = Result::failed;
+            entry->outcome = entry->possibly_recorded ? Result::failed : Result::refused;
         else
             waiting_.push_front(entry);
     }
--- a/src/state/job_admission.hpp
+++ b/src/state/job_admission.hpp
@@ -31,6 +31,7 @@
     enum class Result : std::uint8_t {
         admitted,
         already_recorded,  // an open or terminal record exists
+        refused,           // the store rejects the record for good; it was not written
         failed,            // not known to be recorded in time
     };
 
@@ -57,6 +58,7 @@
         Clock::time_point deadline{};
         std::optional<Result> outcome;
         Clock::time_point sent_at{};
+        bool possibly_recorded = false;  // by a transaction without a response
     };
     using Batch = std::vector<std::shared_ptr<Entry>>;
 
--- a/src/state/state_writer.cpp
+++ b/src/state/state_writer.cpp
@@ -73,12 +73,13 @@
       retry_delay_(min_retry_delay) {}
 
 void StateWriter::run() {
-    for (;;) {
-        wait_for_writes();
-        const auto batch = collect_batch();
-        if (batch.writes.empty()) continue;
-        resolve_outcome(batch, commit(batch));
-    }
+    for (;;) write_once();
+}
+
+void StateWriter::write_once() {
+    wait_for_writes();
+    const auto batch = collect_batch();
+    if (!batch.writes.empty()) resolve_outcome(batch, commit(batch));
 }
 
 // Waits for a request, then for further writes to join the batch and for the write rate limit.
@@ -93,7 +94,10 @@
     Batch batch;
     access.take_write_request();
     auto* const controller = access.controller();
-    if (controller == nullptr) return batch;
+    if (controller == nullptr) {
+        possibly_recorded_.clear();
+        return batch;
+    }
     batch.term = controller->term();
     // Leadership is proven in the same transaction: after a failover the leader key has another
     // mod_revision, and a late write of this controller fails.
@@ -150,6 +154,7 @@
             resolve_malformed(batch);
             return;
         case StoreStatus::unknown:
+            note_unknown_outcome(batch);
             break;
         case StoreStatus::absent:
         case StoreStatus::refused:
@@ -165,6 +170,7 @@
     for (const auto& write : batch.writes)
         if (write.type == Type::finish_job)
             terminal_states_.put(write.id, write.job.terminal_state);
+    for (const auto& write : batch.writes) possibly_recorded_.erase(write.id);
     auto access = leader_state_.lock();
     auto* const controller = access.controller_for_term(batch.term);
     if (controller == nullptr) return;
@@ -186,18 +192,37 @@
 
 // Guards against blocking all writes: one record that the store rejects as malformed, for example
 // because it is too large, kept everything in the same transaction from ever being recorded. The
-// writes are repeated one at a time; a write that is rejected alone is quarantined and the others
-// proceed (StateWriter.WritesTheOthersWhenOneIsCalledMalformed).
+// writes are repeated one at a time. Of a write that is rejected alone, a job that was never
+// recorded is refused, anything else is quarantined, and the others proceed
+// (StateWriter.WritesTheOthersWhenOneIsCalledMalformed).
 void StateWriter::resolve_malformed(const Batch& batch) {
     if (batch.writes.size() > 1) {
         single_writes_left_ = batch.writes.size();
         return;
     }
-    const auto& id = batch.writes.front().id;
+    const auto& write = batch.writes.front();
+    const auto& id = write.id;
+    if (write.type == Type::put_job && write.mod_revision == 0 && !possibly_recorded_.contains(id))
+        return refuse_job(id, batch.term);
     io::log::error("write_quarantined", "id", id, "retry_s", quarantine_time.count());
     quarantined_[id] = Clock::now() + quarantine_time;
 }
 
+void StateWriter::note_unknown_outcome(const Batch& batch) {
+    for (const auto& write : batch.writes)
+        if (write.type == Type::put_job && write.mod_revision == 0)
+            possibly_recorded_.insert(write.id);
+}
+
+void StateWriter::refuse_job(const std::string& id, std::uint64_t term) {
+    io::log::error("job_refused", "id", id, "cause", "the_store_rejects_its_record");
+    auto access = leader_state_.lock();
+    auto* const controller = access.controller_for_term(term);
+    if (controller == nullptr) return;
+    controller->refuse(id);
+    access.notify_committed();
+}
+
 // Waits with jitter, so that controllers do not retry at the same time after an outage.
 void StateWriter::wait_before_retry() {
     std::uniform_int_distribution<std::int64_t> jitter(0, retry_delay_.count());
--- a/src/state/state_writer.hpp
+++ b/src/state/state_writer.hpp
@@ -15,6 +15,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -59,6 +60,7 @@
     };
     enum class ReconcileResult : std::uint8_t { reconciled, deposed };
 
+    void write_once();
     void wait_for_writes();
     Batch collect_batch();
     AddResult add(core::RecordWrite write, Batch& batch) const;
@@ -68,6 +70,8 @@
     void resolve_committed(const Batch& batch, std::uint64_t revision);
     void resolve_rejected(const Batch& batch);
     void resolve_malformed(const Batch& batch);
+    void note_unknown_outcome(const Batch& batch);
+    void refuse_job(const std::string& id, std::uint64_t term);
     void wait_before_retry();
 
     void reconcile_conflict(const Batch& batch, const CasResult& result);
@@ -86,6 +90,8 @@
     std::size_t single_writes_left_ = 0;  // transactions still to be limited to one write
     // Job id or machine name to the time of the next attempt.
     std::map<std::string, Clock::time_point> quarantined_;
+    // Jobs whose first record may have been written by a transaction without a response.
+    std::set<std::string> possibly_recorded_;
 };
 
 }  // namespace bendspindle::state
--- a/src/wire/cbor_validation.cpp
+++ b/src/wire/cbor_validation.cpp
@@ -1,8 +1,11 @@
 #include "wire/cbor_validation.hpp"
 
+#include <utf8proc.h>
+
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <cstring>
 #include <optional>
 
 namespace bendspindle::wire {
@@ -117,7 +120,7 @@
     }
 
     bool read_chunk(std::uint64_t length) {
-        if (length > bytes_.size()) return false;
+        if (length > bytes_.size() || !is_utf8(bytes_.substr(0, length))) return false;
         bytes_.remove_prefix(length);
         return true;
     }
@@ -180,10 +183,36 @@
     int depth_ = 0;
 };
 
+// Returns the number of bytes at the beginning of the text that are ASCII, or a little less.
+std::size_t ascii_prefix(std::string_view text) {
+    constexpr std::uint64_t not_ascii = 0x8080808080808080;
+    std::size_t length = 0;
+    for (; length + sizeof(std::uint64_t) <= text.size(); length += sizeof(std::uint64_t)) {
+        std::uint64_t word = 0;
+        std::memcpy(&word, text.data() + length, sizeof word);
+        if ((word & not_ascii) != 0) break;
+    }
+    return length;
+}
+
 }  // namespace
 
 bool is_valid_cbor(std::string_view bytes) {
     return Validator(bytes).run();
 }
 
+bool is_utf8(std::string_view text) {
+    text.remove_prefix(ascii_prefix(text));
+    while (!text.empty()) {
+        // The library takes text as unsigned bytes.
+        const auto* next = reinterpret_cast<const utf8proc_uint8_t*>(text.data());
+        utf8proc_int32_t codepoint = 0;
+        const auto length =
+            utf8proc_iterate(next, static_cast<utf8proc_ssize_t>(text.size()), &codepoint);
+        if (length <= 0) return false;
+        text.remove_prefix(static_cast<std::size_t>(length));
+    }
+    return true;
+}
+
 }  // namespace bendspindle::wire
--- a/tests/cbor_validation_test.cpp
+++ b/tests/cbor_validation_test.cpp
@@ -65,6 +65,17 @@
     {"ManyDeclaredItems", "\x9b\x7f\xff\xff\xff\xff\xff\xff\xff", false},
     {"ManyDeclaredPairs", "\xbb\xff\xff\xff\xff\xff\xff\xff\xff", false},
     {"LongDeclaredText", "\x7b\xff\xff\xff\xff\xff\xff\xff\xff", false},
+    {"Latin1",
+     "\x64"
+     "caf\xe9",
+     false},
+    {"BrokenUtf8", "\x63\xf0\x28\x8c", false},
+    {"Surrogate", "\x63\xed\xa0\x80", false},
+    {"OverlongUtf8", "\x62\xc0\xaf", false},
+    {"BrokenUtf8AfterLongAscii", "\x78\x21" + std::string(32, 'a') + "\xe9", false},
+    {"BrokenUtf8InName", "\xa1\x61\xe9\x01", false},
+    {"BrokenUtf8Nested", "\xa1\x61k\x81\x61\xe9", false},
+    {"CodepointAcrossChunks", "\x7f\x61\xc3\x61\xa9\xff", false},
     {"NestedTextChunks",
      "\x7f\x7f\x61"
      "a\xff\xff",
--- a/tests/state_writer_test.cpp
+++ b/tests/state_writer_test.cpp
@@ -76,7 +76,35 @@
                access.controller()->durable("job-4");
     });
     EXPECT_TRUE(written);
-    EXPECT_FALSE(access.controller()->durable("job-2"));
+    // Guards against 503 without end: a job whose record is refused for good is not kept.
+    EXPECT_TRUE(access.wait_for_commit(10s, [&] { return !access.controller()->knows("job-2"); }));
+    EXPECT_TRUE(access.controller()->was_refused("job-2"));
+    access.remove_controller();
+}
+
+// Guards against a job that is called malformed although it may be recorded: the first transaction
+// got no response, and the repeated one is refused.
+TEST(StateWriter, KeepsAJobWhoseFirstWriteHasAnUnknownOutcome) {
+    auto& fixture = writer_fixture();
+    const auto lease = fixture.store.grant_lease(60s);
+    ASSERT_TRUE(lease);
+    const auto leader =
+        fixture.store.compare_and_swap({}, {{keys::leader, wire::Value{{"name", "a"}}, lease}});
+    fixture.service.hold({4000ms});
+    auto access = fixture.leader_state.lock();
+    core::Config config;
+    config.zones = {"a"};
+    config.teams = {{"red", {}, {}}};
+    access.install(std::make_unique<core::Controller>(config, 6), leader.revision);
+    access.controller()->accept(job("job-12"), core::WallTime{}, Clock::now());
+    access.request_write();
+    access.unlock();
+    std::this_thread::sleep_for(500ms);
+    fixture.service.refuse("job/job-12");
+    std::this_thread::sleep_for(3s);
+    access.relock();
+    EXPECT_TRUE(access.controller()->knows("job-12"));
+    fixture.service.refuse("");
     access.remove_controller();
 }
 
@@ -242,7 +270,7 @@
         });
     for (auto& user : users) user.join();
     EXPECT_EQ(outcomes["job-5"], JobAdmission::Result::admitted);
-    EXPECT_EQ(outcomes["job-6"], JobAdmission::Result::failed);
+    EXPECT_EQ(outcomes["job-6"], JobAdmission::Result::refused);
     EXPECT_EQ(outcomes["job-7"], JobAdmission::Result::admitted);
 }
 
