Keep exceptions in their step, and refuse names and records out of range

- An exception that left a thread ended the process.
Each step of the controllers' threads, each frame of a peer and each call to an agent now ends with a log line in place of the process.
- A frame of a peer that arrives byte by byte held its thread without a limit on the total time.
- A machine's name may be part of a key and of a path; a longer one than the store's keys allow, or one with other characters, was accepted from agents and the cloud and could never be recorded.
- A stored record could list completed tasks that its job does not have, and a time that overflows the clock; it is quarantined like other unreadable records.
- Malformed responses of the store, the cloud and agents, and malformed heartbeats, are logged.

--- a/src/agents/agent_command_client.cpp
+++ b/src/agents/agent_command_client.cpp
@@ -8,7 +8,9 @@
 
 #include "agents/command_log.hpp"
 #include "core/model/fencing_token.hpp"
+#include "io/guarded_step.hpp"
 #include "io/http_client.hpp"
+#include "io/log.hpp"
 #include "wire/agent_messages.hpp"
 #include "wire/http_status.hpp"
 
@@ -19,10 +21,7 @@
 constexpr int sender_threads = 16;
 constexpr std::chrono::milliseconds call_timeout{1500};
 
-struct CallResult {
-    core::CommandOutcome outcome = core::CommandOutcome::unknown;
-    std::optional<core::Heartbeat> heartbeat;  // from the agent's response, if it had one
-};
+using CallResult = AgentCommandClient::CallResult;
 
 CallResult call_agent(const core::DirectCommand& command) {
     CallResult result;
@@ -33,8 +32,11 @@
         client.post(wire::path::direct_commands, wire::direct_commands_body(command));
     if (!response) return result;
     if (response->status == wire::http_status::ok ||
-        response->status == wire::http_status::conflict)
+        response->status == wire::http_status::conflict) {
         result.heartbeat = wire::parse_heartbeat(response->body);
+        if (!result.heartbeat)
+            io::log::error("response_malformed", "from", command.address, "call", "orders");
+    }
     if (response->status == wire::http_status::conflict)
         result.outcome = core::CommandOutcome::rejected;
     if (response->status == wire::http_status::ok && result.heartbeat)
@@ -72,21 +74,24 @@
 }
 
 void AgentCommandClient::run() {
-    using Clock = std::chrono::steady_clock;
     for (;;) {
         const auto command = next_command();
-        const auto [outcome, heartbeat] = call_agent(command);
-        log_direct_commands(command, outcome);
-
-        auto access = leader_state_.lock();
-        if (!access.controller() ||
-            access.controller()->term() != core::term_of(command.fencing_token))
-            continue;
-        access.controller()->complete_direct_call(command, outcome,
-                                                  heartbeat ? &*heartbeat : nullptr, Clock::now());
-        access.request_write();
-        if (may_allow_placement(command)) access.request_placement();
+        CallResult result;
+        io::run_guarded("agent_commands", [&] { result = call_agent(command); });
+        io::run_guarded("agent_commands", [&] { complete(command, result); });
     }
 }
 
+void AgentCommandClient::complete(const core::DirectCommand& command, const CallResult& result) {
+    log_direct_commands(command, result.outcome);
+    auto access = leader_state_.lock();
+    auto* const controller = access.controller_for_term(core::term_of(command.fencing_token));
+    if (controller == nullptr) return;
+    controller->complete_direct_call(command, result.outcome,
+                                     result.heartbeat ? &*result.heartbeat : nullptr,
+                                     std::chrono::steady_clock::now());
+    access.request_write();
+    if (may_allow_placement(command)) access.request_placement();
+}
+
 }  // namespace bendspindle::agents
--- a/src/agents/agent_command_client.hpp
+++ b/src/agents/agent_command_client.hpp
@@ -8,6 +8,7 @@
 #include <condition_variable>
 #include <deque>
 #include <mutex>
+#include <optional>
 
 #include "core/controller.hpp"
 #include "state/leader_state.hpp"
@@ -26,8 +27,15 @@
     /// state::LeaderState is held; that mutex comes first in the lock order.
     void send(core::DirectCommand command);
 
+    /// The outcome of a call to an agent.
+    struct CallResult {
+        core::CommandOutcome outcome = core::CommandOutcome::unknown;
+        std::optional<core::Heartbeat> heartbeat;  // from the agent's response, if it had one
+    };
+
   private:
     void run();
+    void complete(const core::DirectCommand& command, const CallResult& result);
     core::DirectCommand next_command();
 
     state::LeaderState& leader_state_;
--- a/src/agents/heartbeat_handler.cpp
+++ b/src/agents/heartbeat_handler.cpp
@@ -63,8 +63,10 @@
 
 wire::Response HeartbeatHandler::handle(const std::string& body, RequestOrigin origin) {
     const auto heartbeat = wire::parse_heartbeat(body);
-    if (!heartbeat)
+    if (!heartbeat) {
+        io::log::info("heartbeat_refused", "cause", "malformed");
         return {wire::http_status::bad_request, 0, wire::error_body("malformed report")};
+    }
     const auto status = leadership_.status();
     if (!status.leading) {
         if (origin == RequestOrigin::peer) return wire::unavailable("another controller acts");
--- a/src/cloud/cloud_client.cpp
+++ b/src/cloud/cloud_client.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "io/guarded_step.hpp"
 #include "io/log.hpp"
 #include "wire/cloud.hpp"
 #include "wire/http_status.hpp"
@@ -32,6 +33,10 @@
 // makes the other calls.
 constexpr double spacing_factor = 1.1;
 
+void report_malformed(const char* call) {
+    io::log::error("response_malformed", "from", "cloud", "call", call);
+}
+
 }  // namespace
 
 CloudClient::CloudClient(state::LeaderState& leader_state, const config::Settings& settings,
@@ -53,9 +58,9 @@
 void CloudClient::refresh_catalog() {
     wait_for_rate_limit();
     const auto answer = client_.get(wire::path::catalog);
-    auto types = answer && answer->status == wire::http_status::ok
-                     ? wire::parse_catalog(answer->body)
-                     : std::nullopt;
+    const bool answered = answer && answer->status == wire::http_status::ok;
+    auto types = answered ? wire::parse_catalog(answer->body) : std::nullopt;
+    if (answered && !types) report_malformed("catalog");
     if (!types || types->empty()) {
         next_catalog_ = Clock::now() + catalog_retry_interval;
         return;
@@ -73,7 +78,7 @@
         const auto answer = client_.get(wire::path::machine_list(after, list_page_size));
         if (!answer || answer->status != wire::http_status::ok) return;
         auto list = wire::parse_machine_list(answer->body);
-        if (!list) return;
+        if (!list) return report_malformed("machine_list");
         for (auto& machine : list->machines) machines.push_back(std::move(machine));
         if (!list->more || machines.empty()) break;
         after = machines.back().name;
@@ -91,7 +96,10 @@
         std::vector<std::string> names;
         if (answer && answer->status == wire::http_status::ok) {
             const auto parsed = wire::parse_scale_out_response(answer->body);
-            if (!parsed) continue;
+            if (!parsed) {
+                report_malformed("scale_out");
+                continue;
+            }
             names = *parsed;
         } else if (!answer || answer->status != wire::http_status::service_unavailable) {
             continue;
@@ -127,27 +135,31 @@
 
 void CloudClient::run() {
     for (;;) {
-        if (Clock::now() >= next_catalog_) refresh_catalog();
-        core::ScalingPlan plan;
-        std::uint64_t term = 0;
-        bool leading = false;
-        {
-            auto access = leader_state_.lock();
-            if (access.controller()) {
-                leading = true;
-                term = access.controller()->term();
-                plan = access.controller()->plan_scaling(Clock::now());
-            }
-        }
-        // A release returns the tasks on its machines to placement, so it precedes scaling out.
-        if (!plan.release.empty()) scale_in(plan, term);
-        for (const auto& request : plan.scale_out) scale_out(request, term);
-        if (leading && Clock::now() >= next_list_) {
-            next_list_ = Clock::now() + list_interval_;
-            report_listed_machines();
-        }
+        io::run_guarded("cloud", [this] { run_once(); });
         std::this_thread::sleep_for(plan_interval);
     }
 }
 
+void CloudClient::run_once() {
+    if (Clock::now() >= next_catalog_) refresh_catalog();
+    core::ScalingPlan plan;
+    std::uint64_t term = 0;
+    bool leading = false;
+    {
+        auto access = leader_state_.lock();
+        if (access.controller()) {
+            leading = true;
+            term = access.controller()->term();
+            plan = access.controller()->plan_scaling(Clock::now());
+        }
+    }
+    // A release returns the tasks on its machines to placement, so it precedes scaling out.
+    if (!plan.release.empty()) scale_in(plan, term);
+    for (const auto& request : plan.scale_out) scale_out(request, term);
+    if (leading && Clock::now() >= next_list_) {
+        next_list_ = Clock::now() + list_interval_;
+        report_listed_machines();
+    }
+}
+
 }  // namespace bendspindle::cloud
--- a/src/cloud/cloud_client.hpp
+++ b/src/cloud/cloud_client.hpp
@@ -29,6 +29,7 @@
   private:
     using Clock = std::chrono::steady_clock;
 
+    void run_once();
     void refresh_catalog();
     void report_listed_machines();
     void scale_out(const core::ScaleOutRequest& request, std::uint64_t term);
--- a/src/daemon/announcements.cpp
+++ b/src/daemon/announcements.cpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <thread>
 
+#include "io/guarded_step.hpp"
 #include "io/log.hpp"
 
 namespace bendspindle::daemon {
@@ -20,8 +21,10 @@
 
 void Announcements::run() {
     for (;;) {
-        replication_.exchange_with_peers();
-        if (elector_.status().leading) yield_if_unreachable();
+        io::run_guarded("announcements", [this] {
+            replication_.exchange_with_peers();
+            if (elector_.status().leading) yield_if_unreachable();
+        });
         std::this_thread::sleep_for(announcement_interval);
     }
 }
--- a/src/daemon/failover.cpp
+++ b/src/daemon/failover.cpp
@@ -5,6 +5,7 @@
 #include <thread>
 #include <utility>
 
+#include "io/guarded_step.hpp"
 #include "state/leader_loader.hpp"
 
 namespace bendspindle::daemon {
@@ -47,7 +48,7 @@
         if (!leads_under(term)) return;
         controller = std::make_unique<core::Controller>(
             config::core_config(settings_, operator_settings_), term);
-        revision = state::load_records(store_, *controller);
+        io::run_guarded("failover", [&] { revision = state::load_records(store_, *controller); });
         if (revision) break;
         std::this_thread::sleep_for(load_retry_interval);
     }
--- a/src/daemon/placement_loop.cpp
+++ b/src/daemon/placement_loop.cpp
@@ -7,6 +7,7 @@
 #include <thread>
 #include <utility>
 
+#include "io/guarded_step.hpp"
 #include "io/log.hpp"
 
 namespace bendspindle::daemon {
@@ -45,21 +46,22 @@
       agent_commands_(agent_commands) {}
 
 void PlacementLoop::run() {
-    auto next = Clock::now();
-    for (;;) {
-        auto access = leader_state_.lock();
-        access.wait_for_placement_request(interval_);
-        if (Clock::now() < next) {
-            access.unlock();
-            std::this_thread::sleep_until(next);
-            access.relock();
-        }
-        access.take_placement_request();
-        auto commands = run_cycle(access);
+    for (;;) io::run_guarded("placement_loop", [this] { run_next_cycle(); });
+}
+
+void PlacementLoop::run_next_cycle() {
+    auto access = leader_state_.lock();
+    access.wait_for_placement_request(interval_);
+    if (Clock::now() < next_cycle_) {
         access.unlock();
-        for (auto& command : commands) agent_commands_.send(std::move(command));
-        next = Clock::now() + min_cycle_interval;
+        std::this_thread::sleep_until(next_cycle_);
+        access.relock();
     }
+    access.take_placement_request();
+    auto commands = run_cycle(access);
+    access.unlock();
+    for (auto& command : commands) agent_commands_.send(std::move(command));
+    next_cycle_ = Clock::now() + min_cycle_interval;
 }
 
 std::vector<core::DirectCommand> PlacementLoop::run_cycle(state::LeaderState::Access& access) {
--- a/src/daemon/placement_loop.hpp
+++ b/src/daemon/placement_loop.hpp
@@ -27,7 +27,9 @@
     void run();
 
   private:
-    /// Runs one cycle and returns the direct commands to send; none without a core controller.
+    // Waits for the next cycle, runs it and sends its direct commands.
+    void run_next_cycle();
+    // Runs one cycle and returns the direct commands to send; none without a core controller.
     std::vector<core::DirectCommand> run_cycle(state::LeaderState::Access& access);
 
     const core::Seconds interval_;
@@ -35,6 +37,7 @@
     leadership::LeaderElector& elector_;
     const leadership::CancellationReplication& replication_;
     agents::AgentCommandClient& agent_commands_;
+    std::chrono::steady_clock::time_point next_cycle_{};
 };
 
 }  // namespace bendspindle::daemon
--- a/src/io/peer_link.cpp
+++ b/src/io/peer_link.cpp
@@ -9,8 +9,10 @@
 #include <unistd.h>
 
 #include <cerrno>
+#include <exception>
 #include <thread>
 
+#include "io/crash_report.hpp"
 #include "io/poll.hpp"
 
 namespace bendspindle::io {
@@ -42,7 +44,10 @@
     return true;
 }
 
+// `timeout` limits each wait, and `message_time` all of them together.
 bool receive_all(int fd, std::string& out, std::size_t size, milliseconds timeout) {
+    constexpr std::chrono::seconds message_time{10};
+    const auto deadline = std::chrono::steady_clock::now() + message_time;
     out.resize(size);
     std::size_t received = 0;
     while (received < size) {
@@ -54,7 +59,8 @@
         if (n == 0) return false;
         if (errno == EINTR) continue;
         if (errno != EAGAIN && errno != EWOULDBLOCK) return false;
-        if (!wait_for(fd, POLLIN, timeout)) return false;
+        if (std::chrono::steady_clock::now() > deadline || !wait_for(fd, POLLIN, timeout))
+            return false;
     }
     return true;
 }
@@ -164,7 +170,9 @@
         try {
             // Detached, because the server lives as long as the process; the thread ends when the
             // connection is closed.
-            std::thread([this, s = std::move(socket)]() mutable { serve(std::move(s)); }).detach();
+            std::thread([this, s = std::move(socket)]() mutable {
+                serve_guarded(std::move(s));
+            }).detach();
         } catch (const std::system_error&) {
             std::this_thread::sleep_for(milliseconds{20});
         }
@@ -185,6 +193,15 @@
     report_error_("a peer uses a different version of the peer protocol; its requests are refused");
 }
 
+void PeerServer::serve_guarded(Socket socket) {
+    const SignalStack signal_stack;
+    try {
+        serve(std::move(socket));
+    } catch (const std::exception& error) {
+        report_error_(error.what());
+    }
+}
+
 void PeerServer::serve(Socket socket) {
     constexpr milliseconds message_timeout{2000};
     std::string bytes;
@@ -204,6 +221,7 @@
             report_error_("malformed request on a peer link");
             return;
         }
+        const CurrentRequest current("peer request " + std::to_string(header.kind));
         if (!send_all(socket.fd(), wire::peer::pack(handler_(*request)), message_timeout)) return;
     }
 }
--- a/src/io/peer_link.hpp
+++ b/src/io/peer_link.hpp
@@ -65,6 +65,7 @@
     [[noreturn]] void run();
 
   private:
+    void serve_guarded(Socket socket);
     void serve(Socket socket);
     void report_version_mismatch();
 
--- a/src/leadership/leader_elector.cpp
+++ b/src/leadership/leader_elector.cpp
@@ -5,6 +5,7 @@
 #include <thread>
 #include <utility>
 
+#include "io/guarded_step.hpp"
 #include "io/log.hpp"
 #include "state/keys.hpp"
 
@@ -345,8 +346,10 @@
     for (;;) {
         const bool check_due = clock_() >= next_check;
         if (check_due) next_check = clock_() + check_interval;
-        maintain_lease();
-        if (check_due) check_leadership();
+        io::run_guarded("elector", [&] {
+            maintain_lease();
+            if (check_due) check_leadership();
+        });
         std::unique_lock lock(mutex_);
         check_condition_.wait_for(lock, round_interval + milliseconds(jitter_ms(random)),
                                   [&] { return check_requested_; });
@@ -358,24 +361,26 @@
 // is no leader during that time.
 void LeaderElector::watch() {
     std::uint64_t since = no_revision;  // changes up to this revision are known
-    for (;;) {
-        if (status().leading) {
-            since = no_revision;
-            std::this_thread::sleep_for(check_interval);
-            continue;
-        }
-        const auto changes = since == no_revision
-                                 ? store_.list(state::keys::leader)
-                                 : store_.watch(state::keys::leader, since, watch_timeout);
-        if (changes.outcome == state::StoreStatus::ok) since = changes.revision;
-        if (changes.outcome == state::StoreStatus::too_old) since = no_revision;
-        {
-            const std::lock_guard lock(mutex_);
-            request_check();
-        }
-        if (changes.outcome != state::StoreStatus::ok)
-            std::this_thread::sleep_for(watch_retry_delay);
+    for (;;) io::run_guarded("leader_watch", [&] { since = watch_once(since); });
+}
+
+// Returns the revision up to which changes are known.
+std::uint64_t LeaderElector::watch_once(std::uint64_t since) {
+    if (status().leading) {
+        std::this_thread::sleep_for(check_interval);
+        return no_revision;
+    }
+    const auto changes = since == no_revision
+                             ? store_.list(state::keys::leader)
+                             : store_.watch(state::keys::leader, since, watch_timeout);
+    if (changes.outcome == state::StoreStatus::ok) since = changes.revision;
+    if (changes.outcome == state::StoreStatus::too_old) since = no_revision;
+    {
+        const std::lock_guard lock(mutex_);
+        request_check();
     }
+    if (changes.outcome != state::StoreStatus::ok) std::this_thread::sleep_for(watch_retry_delay);
+    return since;
 }
 
 void LeaderElector::yield_leadership() {
--- a/src/leadership/leader_elector.hpp
+++ b/src/leadership/leader_elector.hpp
@@ -82,6 +82,7 @@
     void record_progress();
 
   private:
+    [[nodiscard]] std::uint64_t watch_once(std::uint64_t since);
     // Leader key and leadership record, read one after the other and not atomically.
     struct StoredLeadership {
         std::optional<LeaderKey> key;
--- a/src/state/http_key_value_store.cpp
+++ b/src/state/http_key_value_store.cpp
@@ -1,5 +1,6 @@
 #include "state/http_key_value_store.hpp"
 
+#include "io/log.hpp"
 #include "wire/http_status.hpp"
 
 namespace bendspindle::state {
@@ -11,6 +12,10 @@
 // with 2,000 machines took 25 consecutive calls.
 constexpr unsigned max_entries_per_page = 400;
 
+void report_malformed(const char* call) {
+    io::log::error("response_malformed", "from", "state_service", "call", call);
+}
+
 }  // namespace
 
 HttpKeyValueStore::HttpKeyValueStore(io::Endpoint endpoint)
@@ -45,7 +50,10 @@
     ReadResult out{status_of(answer), {}};
     if (out.outcome != StoreStatus::ok) return out;
     auto entry = wire::parse_entry(answer->body);
-    if (!entry) return {};
+    if (!entry) {
+        report_malformed("get");
+        return {};
+    }
     out.entry = std::move(*entry);
     return out;
 }
@@ -59,6 +67,7 @@
         if (out.outcome != StoreStatus::ok) return out;
         auto entries = wire::parse_entries(answer->body);
         if (!entries) {
+            report_malformed("list");
             out.outcome = StoreStatus::unknown;
             return out;
         }
@@ -79,6 +88,7 @@
     if (out.outcome != StoreStatus::ok) return out;
     auto events = wire::parse_events(answer->body);
     if (!events) {
+        report_malformed("watch");
         out.outcome = StoreStatus::unknown;
         return out;
     }
@@ -96,6 +106,7 @@
     if (out.outcome != StoreStatus::ok && out.outcome != StoreStatus::conflict) return out;
     const auto parsed = wire::parse_compare_and_swap(answer->body);
     if (!parsed) {
+        report_malformed("compare_and_swap");
         out.outcome = StoreStatus::unknown;
         return out;
     }
@@ -107,7 +118,9 @@
 std::optional<std::uint64_t> HttpKeyValueStore::grant_lease(std::chrono::milliseconds ttl) {
     const auto answer = client_.post(wire::path::leases, wire::lease_body(ttl));
     if (status_of(answer) != StoreStatus::ok) return std::nullopt;
-    return wire::parse_lease(answer->body);
+    const auto lease = wire::parse_lease(answer->body);
+    if (!lease) report_malformed("grant_lease");
+    return lease;
 }
 
 StoreStatus HttpKeyValueStore::keep_alive(std::uint64_t lease) {
--- a/src/state/job_admission.cpp
+++ b/src/state/job_admission.cpp
@@ -5,6 +5,7 @@
 #include <thread>
 #include <utility>
 
+#include "io/guarded_step.hpp"
 #include "state/keys.hpp"
 #include "state/transaction_size.hpp"
 #include "wire/records.hpp"
@@ -53,11 +54,12 @@
 }
 
 void JobAdmission::run() {
-    for (;;) {
-        wait_for_entries();
-        const auto batch = collect_batch();
-        if (!batch.empty()) write_batch(batch);
-    }
+    for (;;)
+        io::run_guarded("job_admission", [this] {
+            wait_for_entries();
+            const auto batch = collect_batch();
+            if (!batch.empty()) write_batch(batch);
+        });
 }
 
 void JobAdmission::wait_for_entries() {
--- a/src/state/job_watch.cpp
+++ b/src/state/job_watch.cpp
@@ -4,6 +4,7 @@
 #include <thread>
 #include <utility>
 
+#include "io/guarded_step.hpp"
 #include "state/keys.hpp"
 #include "wire/records.hpp"
 
@@ -26,7 +27,7 @@
 
 void JobWatch::run() {
     for (;;) {
-        watch_once();
+        io::run_guarded("job_watch", [this] { watch_once(); });
         std::this_thread::sleep_for(pause_between_watches);
     }
 }
--- a/src/state/state_writer.cpp
+++ b/src/state/state_writer.cpp
@@ -5,6 +5,7 @@
 #include <thread>
 #include <utility>
 
+#include "io/guarded_step.hpp"
 #include "io/log.hpp"
 #include "state/transaction_size.hpp"
 #include "wire/records.hpp"
@@ -73,7 +74,7 @@
       retry_delay_(min_retry_delay) {}
 
 void StateWriter::run() {
-    for (;;) write_once();
+    for (;;) io::run_guarded("state_writer", [this] { write_once(); });
 }
 
 void StateWriter::write_once() {
--- a/src/wire/agent_messages.cpp
+++ b/src/wire/agent_messages.cpp
@@ -81,8 +81,7 @@
 core::Heartbeat read_heartbeat(const Fields& fields) {
     core::Heartbeat heartbeat;
     heartbeat.machine = fields.text("spindle");
-    if (heartbeat.machine.empty() || heartbeat.machine.find_first_of(" /") != std::string::npos)
-        throw Malformed("spindle", "is not a name");
+    if (!valid_machine_name(heartbeat.machine)) throw Malformed("spindle", "is not a name");
     heartbeat.address = fields.text("addr");
     heartbeat.type = fields.text("build");
     heartbeat.zone = fields.text("hall");
--- a/src/wire/cloud.cpp
+++ b/src/wire/cloud.cpp
@@ -6,6 +6,8 @@
 //   hire             id of the scale-out request  truncated       more pages follow
 #include "wire/cloud.hpp"
 
+#include <algorithm>
+
 #include "wire/fields.hpp"
 
 namespace bendspindle::wire {
@@ -33,6 +35,7 @@
 core::ListedMachine read_machine(const Fields& fields) {
     core::ListedMachine machine;
     machine.name = fields.text("uid");
+    if (!valid_machine_name(machine.name)) throw Malformed("uid", "is not a name");
     if (fields.has("addr")) machine.address = fields.text("addr");
     machine.type = fields.text("build");
     machine.zone = fields.text("hall");
@@ -71,7 +74,12 @@
 }
 
 std::optional<std::vector<std::string>> parse_scale_out_response(std::string_view body) {
-    return parse_fields(body, [](const Fields& fields) { return fields.texts("spindles"); });
+    return parse_fields(body, [](const Fields& fields) {
+        auto names = fields.texts("spindles");
+        if (!std::all_of(names.begin(), names.end(), valid_machine_name))
+            throw Malformed("spindles", "holds what is not a name");
+        return names;
+    });
 }
 
 std::string release_body(const std::vector<std::string>& names) {
--- a/src/wire/fields.cpp
+++ b/src/wire/fields.cpp
@@ -1,5 +1,6 @@
 #include "wire/fields.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -91,6 +92,13 @@
     return out;
 }
 
+bool valid_machine_name(std::string_view name) {
+    constexpr std::size_t max_length = 128;
+    return !name.empty() && name.size() <= max_length &&
+           std::all_of(name.begin(), name.end(),
+                       [](char c) { return c > ' ' && c <= '~' && c != '/' && c != '&'; });
+}
+
 Value parse_map(std::string_view body) {
     auto parsed = parse_cbor(body);
     if (!parsed) throw Malformed("the body is not CBOR");
--- a/src/wire/fields.hpp
+++ b/src/wire/fields.hpp
@@ -88,6 +88,10 @@
     return names[0].first;
 }
 
+/// Returns whether the text can name a machine: a part of a key of the key-value store, which takes
+/// 200 bytes without spaces, and of a request's path.
+[[nodiscard]] bool valid_machine_name(std::string_view name);
+
 /// Parses the body as a map; throws `Malformed` if it is not one.
 Value parse_map(std::string_view body);
 
--- a/src/wire/records.cpp
+++ b/src/wire/records.cpp
@@ -34,14 +34,24 @@
     return digits;
 }
 
-std::vector<core::TaskRange> from_bitmap(const std::string& bitmap) {
+[[noreturn]] void reject_completed_tasks() {
+    throw Malformed("done", "does not list tasks of the job");
+}
+
+unsigned hexadecimal_value(char digit) {
+    if (digit >= '0' && digit <= '9') return static_cast<unsigned>(digit - '0');
+    if (digit >= 'a' && digit <= 'f') return static_cast<unsigned>(digit - 'a' + 10);
+    reject_completed_tasks();
+}
+
+std::vector<core::TaskRange> from_bitmap(const std::string& bitmap, std::uint32_t tasks) {
     std::vector<core::TaskRange> out;
     for (std::uint32_t n = 0; n < bitmap.size(); ++n) {
-        const unsigned nibble = bitmap[n] <= '9' ? static_cast<unsigned>(bitmap[n] - '0')
-                                                 : static_cast<unsigned>(bitmap[n] - 'a' + 10);
+        const unsigned nibble = hexadecimal_value(bitmap[n]);
         for (std::uint32_t bit = 0; bit < 4; ++bit) {
             if (!(nibble >> bit & 1U)) continue;
             const auto task = n * 4 + bit;
+            if (task >= tasks) reject_completed_tasks();
             if (!out.empty() && out.back().last + 1 == task)
                 out.back().last = task;
             else
@@ -63,16 +73,30 @@
     return out;
 }
 
-std::vector<core::TaskRange> read_completed_tasks(const Value& value) {
-    if (value.is_string()) return from_bitmap(value.get_ref<const std::string&>());
+std::vector<core::TaskRange> read_completed_tasks(const Value& value, std::uint32_t tasks) {
+    if (value.is_string()) return from_bitmap(value.get_ref<const std::string&>(), tasks);
     std::vector<core::TaskRange> out;
-    if (!value.is_array()) return out;
-    for (std::size_t i = 0; i + 1 < value.size(); i += 2)
-        if (value[i].is_number_unsigned() && value[i + 1].is_number_unsigned())
-            out.push_back({value[i].get<std::uint32_t>(), value[i + 1].get<std::uint32_t>()});
+    if (!value.is_array() || value.size() % 2 != 0) reject_completed_tasks();
+    for (std::size_t i = 0; i < value.size(); i += 2) {
+        if (!value[i].is_number_unsigned() || !value[i + 1].is_number_unsigned())
+            reject_completed_tasks();
+        const auto first = value[i].get<std::uint64_t>();
+        const auto last = value[i + 1].get<std::uint64_t>();
+        if (first > last || last >= tasks) reject_completed_tasks();
+        out.push_back({static_cast<std::uint32_t>(first), static_cast<std::uint32_t>(last)});
+    }
     return out;
 }
 
+// Returns the time in milliseconds since 1970; up to the year 2200, beyond which the clock's own
+// representation would overflow.
+core::WallTime read_wall_time(const Fields& fields, const char* name) {
+    constexpr std::uint64_t max_ms = 7'258'118'400'000;
+    const auto milliseconds = fields.count(name);
+    if (milliseconds > max_ms) throw Malformed(name, "is out of range");
+    return core::WallTime(std::chrono::milliseconds(milliseconds));
+}
+
 }  // namespace
 
 Value job_record(const core::JobRecord& record) {
@@ -92,9 +116,9 @@
         core::JobRecord record;
         record.spec = read_job_spec(fields.value("spec"));
         record.home = fields.text("home");
-        record.submitted = core::WallTime(std::chrono::milliseconds(fields.count("submitted_ms")));
+        record.submitted = read_wall_time(fields, "submitted_ms");
         record.last_attempt = fields.count("attempt");
-        record.done = read_completed_tasks(fields.value("done"));
+        record.done = read_completed_tasks(fields.value("done"), record.spec.tasks);
         return record;
     });
 }
