--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -190,11 +190,11 @@
     record.spec.tasks = 6;
     const auto valid = job_record(record);
     const std::vector<std::pair<const char*, Value>> invalid_values{
-        {"done", {0, 6}},
-        {"done", {3, 2}},
-        {"done", {0}},
+        {"done", {0U, 6U}},
+        {"done", {3U, 2U}},
+        {"done", {0U}},
         {"done", {-1, 2}},
-        {"done", {0, std::uint64_t{1} << 32}},
+        {"done", {0U, std::uint64_t{1} << 32}},
         {"done", {"a", "b"}},
         {"done", 7},
         {"done", "04"},
