Describe the request of a log line once, and log malformed responses in one place

Printable text was made twice, and three files wrote the same log line. request_failed names the request as process_ended does.

--- a/src/agents/agent_command_client.cpp
+++ b/src/agents/agent_command_client.cpp
@@ -10,7 +10,6 @@
 #include "core/model/fencing_token.hpp"
 #include "io/guarded_step.hpp"
 #include "io/http_client.hpp"
-#include "io/log.hpp"
 #include "wire/agent_messages.hpp"
 #include "wire/http_status.hpp"
 
@@ -34,8 +33,7 @@
     if (response->status == wire::http_status::ok ||
         response->status == wire::http_status::conflict) {
         result.heartbeat = wire::parse_heartbeat(response->body);
-        if (!result.heartbeat)
-            io::log::error("response_malformed", "from", command.address, "call", "orders");
+        if (!result.heartbeat) io::log_malformed_response(command.address, "orders");
     }
     if (response->status == wire::http_status::conflict)
         result.outcome = core::CommandOutcome::rejected;
--- a/src/cloud/cloud_client.cpp
+++ b/src/cloud/cloud_client.cpp
@@ -34,7 +34,7 @@
 constexpr double spacing_factor = 1.1;
 
 void report_malformed(const char* call) {
-    io::log::error("response_malformed", "from", "cloud", "call", call);
+    io::log_malformed_response("cloud", call);
 }
 
 }  // namespace
--- a/src/io/connection_stream.hpp
+++ b/src/io/connection_stream.hpp
@@ -17,7 +17,7 @@
 /// Limits on each message that a stream receives.
 struct StreamLimits {
     std::chrono::milliseconds wait{5'000};           ///< for the remote end, each time
-    std::chrono::milliseconds message_time{20'000};  ///< from the first wait to the last byte
+    std::chrono::milliseconds message_time{20'000};  ///< from the start of reading to the last byte
     std::size_t max_body_bytes = 0;                  ///< as transmitted
 };
 
--- a/src/io/crash_report.cpp
+++ b/src/io/crash_report.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t max_description_length = 96;
 
 // The description of the current thread's request, ended by a zero.
-thread_local std::array<char, max_description_length + 1> current_request{};
+thread_local std::array<char, max_description_length + 1> request_of_thread{};
 
 // A line built without allocation, which a signal handler may not do.
 class Line {
@@ -49,7 +49,7 @@
     line.append("error process_ended signal=");
     line.append(signal);
     line.append(" request=\"");
-    line.append(current_request.data());
+    line.append(request_of_thread.data());
     line.append("\"\n");
     line.write();
     // SA_RESETHAND restored the default action: the signal ends the process when it recurs.
@@ -98,13 +98,17 @@
 CurrentRequest::CurrentRequest(std::string_view description) {
     const auto n = std::min(description.size(), max_description_length);
     std::transform(description.begin(), description.begin() + static_cast<std::ptrdiff_t>(n),
-                   current_request.begin(),
+                   request_of_thread.begin(),
                    [](char c) { return c >= ' ' && c <= '~' && c != '"' ? c : '?'; });
-    current_request[n] = '\0';
+    request_of_thread[n] = '\0';
 }
 
 CurrentRequest::~CurrentRequest() {
-    current_request[0] = '\0';
+    request_of_thread[0] = '\0';
+}
+
+std::string_view current_request() {
+    return request_of_thread.data();
 }
 
 }  // namespace bendspindle::io
--- a/src/io/crash_report.hpp
+++ b/src/io/crash_report.hpp
@@ -36,4 +36,7 @@
     CurrentRequest& operator=(const CurrentRequest&) = delete;
 };
 
+/// Returns the description of the request that the current thread serves; empty outside of one.
+[[nodiscard]] std::string_view current_request();
+
 }  // namespace bendspindle::io
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 
 #include "io/connection_stream.hpp"
+#include "io/log.hpp"
 
 namespace bendspindle::io {
 
@@ -56,6 +57,10 @@
     return out;
 }
 
+void log_malformed_response(const std::string& from, const std::string& call) {
+    log::error("response_malformed", "from", from, "call", call);
+}
+
 HttpClient::HttpClient(Endpoint endpoint, std::chrono::milliseconds timeout)
     : endpoint_(std::move(endpoint)), timeout_(timeout) {}
 
--- a/src/io/http_client.hpp
+++ b/src/io/http_client.hpp
@@ -26,6 +26,9 @@
     std::string body;
 };
 
+/// Logs that a service answered a call with what is not a message of the protocol.
+void log_malformed_response(const std::string& from, const std::string& call);
+
 /// A client of one host with a pool of kept-alive connections. Each call uses a connection of its
 /// own, so calls do not wait for each other.
 class HttpClient {
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -6,7 +6,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <algorithm>
 #include <array>
 #include <exception>
 #include <memory>
@@ -91,15 +90,6 @@
     }
 }
 
-// Returns the beginning of the text with printable characters only.
-std::string printable(const std::string& text) {
-    constexpr std::size_t max_length = 80;
-    auto out = text.substr(0, max_length);
-    std::replace_if(
-        out.begin(), out.end(), [](char c) { return c < ' ' || c > '~'; }, '?');
-    return out;
-}
-
 // Completes responses of requests that reached no handler: sets a status of the protocol and the
 // usual error body.
 void complete_error_response(const httplib::Request&, httplib::Response& response) {
@@ -209,8 +199,7 @@
     try {
         return handler_(request);
     } catch (const std::exception& error) {
-        log::error("request_failed", "method", request.method, "path", printable(request.path),
-                   "cause", error.what());
+        log::error("request_failed", "request", current_request(), "cause", error.what());
         return {wire::http_status::internal_error, 0, wire::error_body("internal error")};
     }
 }
--- a/src/state/http_key_value_store.cpp
+++ b/src/state/http_key_value_store.cpp
@@ -1,6 +1,5 @@
 #include "state/http_key_value_store.hpp"
 
-#include "io/log.hpp"
 #include "wire/http_status.hpp"
 
 namespace bendspindle::state {
@@ -13,7 +12,7 @@
 constexpr unsigned max_entries_per_page = 400;
 
 void report_malformed(const char* call) {
-    io::log::error("response_malformed", "from", "state_service", "call", call);
+    io::log_malformed_response("state_service", call);
 }
 
 }  // namespace
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -42,6 +42,12 @@
         return response;
     }
 
+    static void expect_ok(const std::optional<HttpResponse>& response) {
+        ASSERT_TRUE(response);
+        EXPECT_EQ(response->status, 200);
+        EXPECT_EQ(response->body, "ok");
+    }
+
     const std::chrono::milliseconds timeout_{500};
     const int port_ = 24'000 + static_cast<int>(::getpid() % 1000);
     std::string answer_;
@@ -52,17 +58,14 @@
 TEST_F(HttpClientTest, ALongStatusLineDoesNotOverflowASmallStack) {
     const auto response =
         get("HTTP/1.1 200 " + std::string(7000, 'a') + "\r\nContent-Length: 2\r\n\r\nok");
-    ASSERT_TRUE(response);
-    EXPECT_EQ(response->status, 200);
-    EXPECT_EQ(response->body, "ok");
+    expect_ok(response);
     EXPECT_FALSE(get("HTTP/1.1 200 " + std::string(100'000, 'a') + "\r\n\r\n"));
 }
 
 TEST_F(HttpClientTest, ReadsAResponseAfterInterimResponses) {
     const auto response =
         get("HTTP/1.1 103 Early\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
-    ASSERT_TRUE(response);
-    EXPECT_EQ(response->body, "ok");
+    expect_ok(response);
 }
 
 TEST_F(HttpClientTest, DropsMalformedResponses) {
@@ -88,8 +91,7 @@
 TEST_F(HttpClientTest, DecompressesNothing) {
     const auto response =
         get("HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok");
-    ASSERT_TRUE(response);
-    EXPECT_EQ(response->body, "ok");
+    expect_ok(response);
 }
 
 // Each byte arrives within the timeout for one wait; the whole response must end as well.
