Bound the operators' files before the S-expression library reads them

What callers saw: `check` and `serve` ended with SIGSEGV in place of exit code 2 by an operator.sexp or admission.sexp of two million parentheses, nested or, found now, side by side.

Cause: the library frees a list recursively, for each level and for each expression beside it.

Change: a file has at most 64 KiB without its comments and 16 levels; beyond it, a clear error and exit code 2.

CommandLine.NestedOrEndlessSExpressionsEndNoProcess failed before (the process ended by the signal, with both options) and passes now.

--- a/src/config/s_expression.cpp
+++ b/src/config/s_expression.cpp
@@ -2,6 +2,7 @@
 
 #include <sfsexp/sexp.h>
 
+#include <algorithm>
 #include <cmath>
 #include <memory>
 #include <optional>
@@ -14,6 +15,10 @@
 
 namespace {
 
+// The library recurses for each level and for each expression in a list.
+constexpr std::size_t max_file_bytes = 64 * 1024;
+constexpr int max_depth = 16;
+
 struct DestroyExpression {
     void operator()(sexp_t* expression) const { destroy_sexp(expression); }
 };
@@ -29,6 +34,24 @@
     return stripped;
 }
 
+bool is_nested_too_deeply(const std::string& text) {
+    int depth = 0;
+    int deepest = 0;
+    for (const char c : text) {
+        if (c == '(') deepest = std::max(deepest, ++depth);
+        if (c == ')') depth = std::max(0, depth - 1);
+    }
+    return deepest > max_depth;
+}
+
+Expression parse(const std::string& file) {
+    auto text = without_comments(read_text_file(file));
+    if (text.size() > max_file_bytes)
+        throw SettingsError(file, "is larger than " + std::to_string(max_file_bytes) + " bytes");
+    if (is_nested_too_deeply(text)) throw SettingsError(file, "is nested too deeply");
+    return Expression(parse_sexp(text.data(), text.size()));
+}
+
 std::optional<Entry> read_entry(const sexp_t& expression) {
     if (expression.ty != SEXP_LIST) return std::nullopt;
     Entry entry;
@@ -43,8 +66,7 @@
 
 void for_each_entry(const std::string& file, const std::string& expected_form,
                     const std::function<bool(const Entry&)>& accept) {
-    auto text = without_comments(read_text_file(file));
-    const Expression root(parse_sexp(text.data(), text.size()));
+    const auto root = parse(file);
     if (!root || root->ty != SEXP_LIST) throw SettingsError(file, "is not an S-expression list");
     for (const sexp_t* expression = root->list; expression; expression = expression->next) {
         const auto entry = read_entry(*expression);
--- a/src/config/s_expression.hpp
+++ b/src/config/s_expression.hpp
@@ -1,5 +1,5 @@
 /// Reader of the operators' files, operator.sexp and admission.sexp: one S-expression, which is a
-/// list of entries; each entry is a list of words.
+/// list of entries; each entry is a list of words. A file has at most 64 KiB without its comments.
 #pragma once
 
 #include <functional>
--- a/tests/command_line_test.cpp
+++ b/tests/command_line_test.cpp
@@ -166,6 +166,42 @@
                    path("missing") + ": cannot be read");
 }
 
+std::string nested(const std::string& opening, const std::string& closing, int depth) {
+    std::string text;
+    for (int i = 0; i < depth; ++i) text += opening;
+    for (int i = 0; i < depth; ++i) text += closing;
+    return text;
+}
+
+// Guards against the end of the process by a stack overflow in the S-expression library.
+TEST_F(CommandLine, NestedOrEndlessSExpressionsEndNoProcess) {
+    constexpr int many = 2'000'000;
+    const auto valid = valid_settings();
+    const auto deep = write("deep", nested("(", ")", 1000));
+    const auto deeper = write("deeper", nested("(", ")", many));
+    const auto wide = write("wide", "(" + nested("() ", "", many) + ")");
+    for (const std::string subcommand : {"check", "serve"})
+        for (const std::string option : {"--operator", "--admission"}) {
+            expect_refused({subcommand, "--config", valid, option, deep},
+                           deep + ": is nested too deeply");
+            for (const auto& large : {deeper, wide})
+                expect_refused({subcommand, "--config", valid, option, large},
+                               large + ": is larger than 65536 bytes");
+        }
+    for (const auto& text : {nested("( \")\" ", "", 10'000), "(" + nested("() ", "", 20'000) + ")",
+                             nested("'", "", 60'000), nested("(\"", "", 15)})
+        EXPECT_EQ(run({"check", "--config", valid, "--operator", write("odd", text)}).code, 2);
+}
+
+TEST_F(CommandLine, NestedSettingsEndNoProcess) {
+    for (const auto& text : {nested("[", "]", 200'000), nested("{\"k\":", "}", 200'000),
+                             "{\"node_name\":" + nested("[", "]", 200'000) + "}"}) {
+        const auto settings = write("settings", text);
+        for (const std::string subcommand : {"check", "serve"})
+            EXPECT_EQ(run({subcommand, "--config", settings}).code, 2);
+    }
+}
+
 TEST_F(CommandLine, ClientCommandsWithoutAControllerExitWithThree) {
     const auto job = write("job", "{}");
     for (const auto& arguments :
