Bound the depth of a job's document before `submit` writes it as CBOR

What callers saw: `submit` (the client; no controller) ended with SIGSEGV by a document nested 200,000 deep.

Cause: the JSON library parses without recursion, but writes CBOR recursively.

Change: the depth is checked while the document is parsed; beyond that of CBOR messages, exit code 2.

CommandLine.ANestedJobEndsNoClient failed before (signal) and passes now.

--- a/src/daemon/client.cpp
+++ b/src/daemon/client.cpp
@@ -7,6 +7,7 @@
 #include "config/settings_error.hpp"
 #include "io/http_client.hpp"
 #include "wire/cbor.hpp"
+#include "wire/cbor_validation.hpp"
 #include "wire/http_status.hpp"
 #include "wire/user_messages.hpp"
 
@@ -35,14 +36,29 @@
     return 1;
 }
 
-}  // namespace
-
-int submit_file(const std::string& endpoint, const std::string& file) {
+std::string read_file(const std::string& file) {
     std::ifstream in(file, std::ios::binary);
     if (!in) throw config::SettingsError(file, "cannot be read");
-    const std::string text{std::istreambuf_iterator<char>(in), {}};
-    const auto job = wire::Value::parse(text, nullptr, false);
+    return {std::istreambuf_iterator<char>(in), {}};
+}
+
+// CBOR is written recursively, so the depth is checked while the document is parsed.
+wire::Value parse_job(const std::string& file) {
+    bool too_deep = false;
+    const auto is_allowed = [&](int depth, wire::Value::parse_event_t, const wire::Value&) {
+        if (depth > wire::max_cbor_depth) too_deep = true;
+        return !too_deep;
+    };
+    auto job = wire::Value::parse(read_file(file), is_allowed, false);
+    if (too_deep) throw config::SettingsError(file, "is nested too deeply");
     if (job.is_discarded()) throw config::SettingsError(file, "is not JSON");
+    return job;
+}
+
+}  // namespace
+
+int submit_file(const std::string& endpoint, const std::string& file) {
+    const auto job = parse_job(file);
     return print_response(connect(endpoint).post(wire::path::jobs, wire::to_cbor(job)));
 }
 
--- a/src/wire/cbor_validation.hpp
+++ b/src/wire/cbor_validation.hpp
@@ -1,6 +1,6 @@
 /// Checks CBOR from another process before it is parsed. The parser of the library recurses for
 /// each nested string of indefinite length and does not check that text is UTF-8, so `parse_cbor`
-/// calls this check first; nothing else uses it.
+/// calls this check first.
 #pragma once
 
 #include <string_view>
--- a/tests/command_line_test.cpp
+++ b/tests/command_line_test.cpp
@@ -193,6 +193,18 @@
         EXPECT_EQ(run({"check", "--config", valid, "--operator", write("odd", text)}).code, 2);
 }
 
+// Guards against the end of the client by a stack overflow while it writes CBOR.
+TEST_F(CommandLine, ANestedJobEndsNoClient) {
+    for (const int depth : {13, 1000, 200'000})
+        for (const auto& [opening, closing] :
+             std::vector<std::pair<std::string, std::string>>{{"[", "]"}, {"{\"k\":[", "]}"}}) {
+            const auto job = write("job", "{\"uid\":" + nested(opening, closing, depth) + "}");
+            expect_refused({"submit", "--to", "127.0.0.1:1", job}, job + ": is nested too deeply");
+        }
+    const auto shallow = write("job", "{\"uid\":" + nested("[", "]", 11) + "}");
+    EXPECT_EQ(run({"submit", "--to", "127.0.0.1:1", shallow}).code, 3);
+}
+
 TEST_F(CommandLine, NestedSettingsEndNoProcess) {
     for (const auto& text : {nested("[", "]", 200'000), nested("{\"k\":", "}", 200'000),
                              "{\"node_name\":" + nested("[", "]", 200'000) + "}"}) {
