--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -1,9 +1,11 @@
-// The HTTP server immediately closes connections that exceed its threads and its queue.
+// The HTTP server closes connections that exceed its threads and its queue, and keeps exceptions of
+// handlers in their request.
 #include "io/http_server.hpp"
 
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include <stdexcept>
 #include <thread>
 
 namespace bendspindle::io {
@@ -50,5 +52,28 @@
     server_thread.join();
 }
 
+// Guards against the end of the process by an exception of a handler.
+TEST(HttpServer, AnExceptionOfAHandlerCostsOnlyItsRequest) {
+    const int port = 23'000 + static_cast<int>(::getpid() % 1000);
+    HttpServer server({}, [](const HttpRequest& request) -> wire::Response {
+        if (request.path == "/fails") throw std::runtime_error("the handler failed");
+        return {wire::http_status::ok, 0, {}};
+    });
+    ASSERT_TRUE(server.bind("127.0.0.1", port));
+    std::thread server_thread([&] { server.listen_after_bind(); });
+    while (!server.is_running()) std::this_thread::sleep_for(1ms);
+    httplib::Client client("127.0.0.1", port);
+    for (int i = 0; i < 2; ++i) {
+        const auto failed = client.Get("/fails");
+        ASSERT_TRUE(failed);
+        EXPECT_EQ(failed->status, 500);
+        const auto served = client.Get("/works");
+        ASSERT_TRUE(served);
+        EXPECT_EQ(served->status, 200);
+    }
+    server.stop();
+    server_thread.join();
+}
+
 }  // namespace
 }  // namespace bendspindle::io
--- a/tests/peer_link_test.cpp
+++ b/tests/peer_link_test.cpp
@@ -1,15 +1,15 @@
 // The server for peers, and its handling of clients with a different protocol version.
 #include "io/peer_link.hpp"
 
-#include <arpa/inet.h>
 #include <gtest/gtest.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <atomic>
+#include <chrono>
 #include <thread>
 
+#include "standin/raw_connection.hpp"
+
 namespace bendspindle {
 namespace {
 
@@ -23,20 +23,21 @@
                           [this](const std::string&) { ++reported_errors; }};
 };
 
+// Returns the port of a server that runs until the process ends, as in a controller; 0 if it cannot
+// listen.
+int port_of_running(TestServer& test, int offset) {
+    const int port = 12'000 + 2 * static_cast<int>(::getpid() % 500) + offset;
+    if (!test.server.bind({"127.0.0.1", port})) return 0;
+    std::thread([&test] { test.server.run(); }).detach();
+    return port;
+}
+
 // Sends the bytes and returns the answer; empty if the server closes the connection.
 std::string send_and_receive(int port, const std::string& bytes) {
-    const io::Socket socket(::socket(AF_INET, SOCK_STREAM, 0));
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(static_cast<std::uint16_t>(port));
-    ::inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
-    const auto* raw = reinterpret_cast<const sockaddr*>(&address);
-    if (::connect(socket.fd(), raw, sizeof address) != 0) return "not connected";
-    if (::send(socket.fd(), bytes.data(), bytes.size(), MSG_NOSIGNAL) < 0) return "not sent";
-    std::string answer(64, '\0');
-    const auto n = ::recv(socket.fd(), answer.data(), answer.size(), 0);
-    answer.resize(n > 0 ? static_cast<std::size_t>(n) : 0);
-    return answer;
+    standin::RawConnection connection(port);
+    if (!connection.connected()) return "not connected";
+    if (!connection.send(bytes)) return "not sent";
+    return connection.receive(1, std::chrono::seconds(60));
 }
 
 // A peer with a different protocol version reconnects for every request. The server must report it
@@ -44,9 +45,8 @@
 TEST(PeerLink, VersionMismatchIsReportedOnce) {
     // The server runs until the process ends, as in a controller.
     static TestServer& test = *new TestServer;
-    const int port = 12'000 + static_cast<int>(::getpid() % 1000);
-    ASSERT_TRUE(test.server.bind({"127.0.0.1", port}));
-    std::thread([] { test.server.run(); }).detach();
+    const int port = port_of_running(test, 0);
+    ASSERT_NE(port, 0);
 
     auto frame =
         wire::peer::pack(wire::peer::Request{wire::peer::Op::leader_announcement, 3, "c1", {}});
@@ -59,5 +59,26 @@
     EXPECT_EQ(test.requests, 1);
 }
 
+TEST(PeerLink, AFrameThatArrivesByteByByteIsClosed) {
+    static TestServer& test = *new TestServer;
+    const int port = port_of_running(test, 1);
+    ASSERT_NE(port, 0);
+    const std::string id(100, 'c');
+    const auto frame =
+        wire::peer::pack(wire::peer::Request{wire::peer::Op::leader_announcement, 3, id, {}});
+    standin::RawConnection connection(port);
+    ASSERT_TRUE(connection.send(frame.substr(0, wire::peer::header_size)));
+    constexpr std::chrono::milliseconds pause{500};
+    constexpr std::chrono::seconds longest{13};
+    const auto start = std::chrono::steady_clock::now();
+    std::size_t sent = wire::peer::header_size;
+    while (sent < frame.size() && std::chrono::steady_clock::now() - start < longest) {
+        if (!connection.send(frame.substr(sent++, 1))) break;
+        std::this_thread::sleep_for(pause);
+    }
+    EXPECT_LT(std::chrono::steady_clock::now() - start, longest);
+    EXPECT_EQ(test.requests, 0);
+}
+
 }  // namespace
 }  // namespace bendspindle
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -116,6 +116,29 @@
     EXPECT_EQ(operator_settings.max_cached_terminal_states, defaults.max_cached_terminal_states);
 }
 
+TEST_F(SettingsFile, TheLastValueOfARepeatedNameCounts) {
+    auto text = valid_.dump();
+    text.replace(0, 1, R"({"node_name": "c7", )");
+    EXPECT_EQ(load_settings(write(text)).name, "c0");
+    text.replace(text.size() - 1, 1, R"(, "node_name": "c8"})");
+    EXPECT_EQ(load_settings(write(text)).name, "c8");
+    EXPECT_DOUBLE_EQ(load_operator_settings(write("((headroom 2) (headroom 3))")).headroom, 3);
+}
+
+TEST_F(SettingsFile, TextThatIsNotUtf8IsRefusedOrNamesNothing) {
+    auto text = valid_.dump();
+    text.replace(text.find("\"c0\""), 4, "\"\xe9\"");
+    EXPECT_THROW(load_settings(write(text)), SettingsError);
+    EXPECT_FALSE(operator_settings_error("((headroom\xe9 2))").empty());
+    EXPECT_FALSE(operator_settings_error("((headroom \xf0\x28\x8c))").empty());
+    EXPECT_FALSE(operator_settings_error("((log-level inf\xe9))").empty());
+    Settings settings;
+    settings.teams.push_back({"red", {}, {}});
+    EXPECT_THROW(load_fair_share_settings(write("((team red\xe9 2))"), settings), SettingsError);
+    const auto shares = load_fair_share_settings(write("((class scan\xe9 2))"), settings);
+    EXPECT_FALSE(shares.class_weights.contains("scan"));
+}
+
 TEST_F(SettingsFile, FairShareSettings) {
     Settings settings;
     settings.teams.push_back({"red", {}, {}});
