--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -67,6 +67,8 @@
         const auto failed = client.Get("/fails");
         ASSERT_TRUE(failed);
         EXPECT_EQ(failed->status, 500);
+        EXPECT_EQ(failed->body, wire::error_body("internal error"));
+        EXPECT_FALSE(failed->has_header("EXCEPTION_WHAT"));
         const auto served = client.Get("/works");
         ASSERT_TRUE(served);
         EXPECT_EQ(served->status, 200);
--- a/tests/state_writer_test.cpp
+++ b/tests/state_writer_test.cpp
@@ -274,6 +274,23 @@
     EXPECT_EQ(outcomes["job-7"], JobAdmission::Result::admitted);
 }
 
+// Guards against a job that is called malformed although it may be recorded, as in StateWriter.
+TEST(JobAdmission, DoesNotRefuseAJobWhoseFirstWriteHasAnUnknownOutcome) {
+    auto& fixture = writer_fixture();
+    fixture.service.hold({4000ms});
+    JobAdmission::Answer answer;
+    std::thread user([&] {
+        core::JobRecord record;
+        record.spec = job("job-13");
+        answer = fixture.admission.admit(record);
+    });
+    std::this_thread::sleep_for(500ms);
+    fixture.service.refuse("job/job-13");
+    user.join();
+    EXPECT_EQ(answer.outcome, JobAdmission::Result::failed);
+    fixture.service.refuse("");
+}
+
 // Guards against refused transactions: job admission took every record for one of 2 KiB, and a few
 // with long lists of machine types made a transaction larger than the service accepts.
 TEST(JobAdmission, AdmitsLongRecordsInTransactionsOfLimitedSize) {
