Read the job's file and start test servers in one place; submit's depth is exactly that of CBOR

`submit` read files with a copy of config::read_text_file, and let documents of 13 levels through, which controllers refuse (now 12, and tested). The peer test took a connection that stays open for a closed one after 60 s: it asks the socket now.

--- a/src/daemon/client.cpp
+++ b/src/daemon/client.cpp
@@ -1,10 +1,9 @@
 #include "daemon/client.hpp"
 
-#include <fstream>
 #include <iostream>
-#include <iterator>
 
 #include "config/settings_error.hpp"
+#include "config/text_file.hpp"
 #include "io/http_client.hpp"
 #include "wire/cbor.hpp"
 #include "wire/cbor_validation.hpp"
@@ -36,20 +35,17 @@
     return 1;
 }
 
-std::string read_file(const std::string& file) {
-    std::ifstream in(file, std::ios::binary);
-    if (!in) throw config::SettingsError(file, "cannot be read");
-    return {std::istreambuf_iterator<char>(in), {}};
-}
-
 // CBOR is written recursively, so the depth is checked while the document is parsed.
 wire::Value parse_job(const std::string& file) {
+    using Event = wire::Value::parse_event_t;
     bool too_deep = false;
-    const auto is_allowed = [&](int depth, wire::Value::parse_event_t, const wire::Value&) {
-        if (depth > wire::max_cbor_depth) too_deep = true;
+    // `outer` is the number of lists and maps around the one that begins.
+    const auto is_allowed = [&](int outer, Event event, const wire::Value&) {
+        const bool begins = event == Event::object_start || event == Event::array_start;
+        if (begins && outer >= wire::max_cbor_depth) too_deep = true;
         return !too_deep;
     };
-    auto job = wire::Value::parse(read_file(file), is_allowed, false);
+    auto job = wire::Value::parse(config::read_text_file(file), is_allowed, false);
     if (too_deep) throw config::SettingsError(file, "is nested too deeply");
     if (job.is_discarded()) throw config::SettingsError(file, "is not JSON");
     return job;
--- a/tests/command_line_test.cpp
+++ b/tests/command_line_test.cpp
@@ -195,7 +195,7 @@
 
 // Guards against the end of the client by a stack overflow while it writes CBOR.
 TEST_F(CommandLine, ANestedJobEndsNoClient) {
-    for (const int depth : {13, 1000, 200'000})
+    for (const int depth : {12, 13, 1000, 200'000})
         for (const auto& [opening, closing] :
              std::vector<std::pair<std::string, std::string>>{{"[", "]"}, {"{\"k\":[", "]}"}}) {
             const auto job = write("job", "{\"uid\":" + nested(opening, closing, depth) + "}");
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -13,28 +13,51 @@
 
 using namespace std::chrono_literals;
 
+// A server that listens until the end of its scope.
+class RunningServer {
+  public:
+    RunningServer(HttpServerLimits limits, HttpServer::Handler handler)
+        : server_(limits, std::move(handler)) {
+        if (!server_.bind("127.0.0.1", port_)) return;
+        thread_ = std::thread([this] { server_.listen_after_bind(); });
+        while (!server_.is_running()) std::this_thread::sleep_for(1ms);
+    }
+    ~RunningServer() {
+        if (!listens()) return;
+        server_.stop();
+        thread_.join();
+    }
+    RunningServer(const RunningServer&) = delete;
+    RunningServer& operator=(const RunningServer&) = delete;
+
+    bool listens() const { return thread_.joinable(); }
+    int port() const { return port_; }
+
+  private:
+    const int port_ = 23'000 + static_cast<int>(::getpid() % 1000);
+    HttpServer server_;
+    std::thread thread_;
+};
+
 // Without a limit on waiting connections, accumulated connections use up all sockets of the
 // process.
 TEST(HttpServer, ClosesConnectionsBeyondTheQueue) {
-    const int port = 23000 + static_cast<int>(::getpid() % 1000);
     HttpServerLimits limits;
     limits.max_threads = 2;
     limits.max_waiting = 3;
     std::atomic<bool> release_handlers{false};
     std::atomic<int> in_handler{0};
-    HttpServer server(limits, [&](const HttpRequest&) {
+    const RunningServer server(limits, [&](const HttpRequest&) {
         ++in_handler;
         while (!release_handlers) std::this_thread::sleep_for(1ms);
         return wire::Response{wire::http_status::ok, 0, {}};
     });
-    ASSERT_TRUE(server.bind("127.0.0.1", port));
-    std::thread server_thread([&] { server.listen_after_bind(); });
-    while (!server.is_running()) std::this_thread::sleep_for(1ms);
+    ASSERT_TRUE(server.listens());
     std::atomic<int> served{0};
     std::atomic<int> refused{0};
     std::vector<std::thread> clients;
     const auto send_request = [&] {
-        httplib::Client client("127.0.0.1", port);
+        httplib::Client client("127.0.0.1", server.port());
         client.set_read_timeout(60s);
         const auto result = client.Get("/");
         ++(result && result->status == 200 ? served : refused);
@@ -48,21 +71,16 @@
     for (auto& client_thread : clients) client_thread.join();
     EXPECT_EQ(served, 5);
     EXPECT_EQ(refused, 5);
-    server.stop();
-    server_thread.join();
 }
 
 // Guards against the end of the process by an exception of a handler.
 TEST(HttpServer, AnExceptionOfAHandlerCostsOnlyItsRequest) {
-    const int port = 23'000 + static_cast<int>(::getpid() % 1000);
-    HttpServer server({}, [](const HttpRequest& request) -> wire::Response {
+    const RunningServer server({}, [](const HttpRequest& request) -> wire::Response {
         if (request.path == "/fails") throw std::runtime_error("the handler failed");
         return {wire::http_status::ok, 0, {}};
     });
-    ASSERT_TRUE(server.bind("127.0.0.1", port));
-    std::thread server_thread([&] { server.listen_after_bind(); });
-    while (!server.is_running()) std::this_thread::sleep_for(1ms);
-    httplib::Client client("127.0.0.1", port);
+    ASSERT_TRUE(server.listens());
+    httplib::Client client("127.0.0.1", server.port());
     for (int i = 0; i < 2; ++i) {
         const auto failed = client.Get("/fails");
         ASSERT_TRUE(failed);
@@ -73,8 +91,6 @@
         ASSERT_TRUE(served);
         EXPECT_EQ(served->status, 200);
     }
-    server.stop();
-    server_thread.join();
 }
 
 }  // namespace
--- a/tests/peer_link_test.cpp
+++ b/tests/peer_link_test.cpp
@@ -37,13 +37,13 @@
     standin::RawConnection connection(port);
     if (!connection.connected()) return "not connected";
     if (!connection.send(bytes)) return "not sent";
-    return connection.receive(1, std::chrono::seconds(60));
+    const auto answer = connection.receive(1, std::chrono::seconds(60));
+    return answer.empty() && !connection.is_closed() ? "not closed" : answer;
 }
 
 // A peer with a different protocol version reconnects for every request. The server must report it
 // once instead of once per request, and still serve peers with the same version.
 TEST(PeerLink, VersionMismatchIsReportedOnce) {
-    // The server runs until the process ends, as in a controller.
     static TestServer& test = *new TestServer;
     const int port = port_of_running(test, 0);
     ASSERT_NE(port, 0);
--- a/tests/standin/raw_connection.cpp
+++ b/tests/standin/raw_connection.cpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 #include <cstdlib>
 
 namespace bendspindle::standin {
@@ -49,6 +50,12 @@
     return received;
 }
 
+bool RawConnection::is_closed() const {
+    char byte = 0;
+    const auto n = ::recv(fd_, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 int status_of_request(int port, const std::string& bytes, std::chrono::milliseconds wait) {
     constexpr std::size_t status_line = 12;
     constexpr std::size_t status_begin = 9;
--- a/tests/standin/raw_connection.hpp
+++ b/tests/standin/raw_connection.hpp
@@ -19,6 +19,8 @@
     // Returns what arrives until the other end closes the connection, `enough` bytes have arrived,
     // or nothing arrives for the time.
     std::string receive(std::size_t enough, std::chrono::milliseconds wait);
+    // Returns whether the other end has closed the connection and nothing is left to receive.
+    bool is_closed() const;
 
   private:
     int fd_ = -1;
