--- a/src/io/connection_stream.cpp
+++ b/src/io/connection_stream.cpp
@@ -88,6 +88,7 @@
         if (n >= 0) {
             begin_ = 0;
             end_ = static_cast<std::size_t>(n);
+            closed_by_remote_end_ = n == 0;
             return n;
         }
         if (errno == EINTR) continue;
--- a/src/io/connection_stream.hpp
+++ b/src/io/connection_stream.hpp
@@ -45,6 +45,8 @@
     /// Returns whether bytes of a message were not read, because it exceeded the limits or the
     /// connection failed. The next message cannot be found then.
     [[nodiscard]] bool lost_message_boundary() const { return lost_message_boundary_; }
+    /// Returns whether the remote end has closed the connection.
+    [[nodiscard]] bool closed_by_remote_end() const { return closed_by_remote_end_; }
 
     bool is_readable() const override;
     bool is_writable() const override { return true; }
@@ -79,6 +81,7 @@
     std::size_t body_left_ = 0;  // bytes that may still be read
     Clock::time_point deadline_{};
     bool lost_message_boundary_ = false;
+    bool closed_by_remote_end_ = false;
 };
 
 }  // namespace bendspindle::io
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -169,7 +169,7 @@
                              limits_.max_body_bytes * max_transmitted_bytes_per_byte});
     while (stream.wait_for_message(limits_.idle_timeout))
         if (!serve_request(stream)) break;
-    if (stream.lost_message_boundary()) discard_input(sock);
+    if (stream.lost_message_boundary() && !stream.closed_by_remote_end()) discard_input(sock);
 }
 
 bool HttpServer::serve_request(ConnectionStream& stream) {
--- a/src/wire/cbor_validation.cpp
+++ b/src/wire/cbor_validation.cpp
@@ -183,8 +183,9 @@
     int depth_ = 0;
 };
 
-// Returns the number of bytes at the beginning of the text that are ASCII, or a little less.
+// Returns the number of bytes at the beginning of the text that are ASCII.
 std::size_t ascii_prefix(std::string_view text) {
+    constexpr unsigned char first_not_ascii = 0x80;
     constexpr std::uint64_t not_ascii = 0x8080808080808080;
     std::size_t length = 0;
     for (; length + sizeof(std::uint64_t) <= text.size(); length += sizeof(std::uint64_t)) {
@@ -192,6 +193,8 @@
         std::memcpy(&word, text.data() + length, sizeof word);
         if ((word & not_ascii) != 0) break;
     }
+    while (length < text.size() && static_cast<unsigned char>(text[length]) < first_not_ascii)
+        ++length;
     return length;
 }
 
--- a/tests/cbor_validation_test.cpp
+++ b/tests/cbor_validation_test.cpp
@@ -76,6 +76,7 @@
     {"BrokenUtf8InName", "\xa1\x61\xe9\x01", false},
     {"BrokenUtf8Nested", "\xa1\x61k\x81\x61\xe9", false},
     {"CodepointAcrossChunks", "\x7f\x61\xc3\x61\xa9\xff", false},
+    {"NestedTextChunkOfText", "\x7f\x7f" + std::string(31, 'a') + "\xff", false},
     {"NestedTextChunks",
      "\x7f\x7f\x61"
      "a\xff\xff",
@@ -95,6 +96,7 @@
     for (const char opening : {'\x7f', '\x5f', '\x81', '\x9f', '\xbf', '\xc1'})
         EXPECT_FALSE(parse_cbor(std::string(max_request_bytes, opening))) << int{opening};
     EXPECT_FALSE(parse_cbor("\xa1" + std::string(max_request_bytes, '\x7f')));
+    EXPECT_FALSE(parse_cbor(std::string(1 + 32 * 2000, '\x7f') + "\xff"));
     EXPECT_FALSE(parse_cbor("\xa1\x61k" + std::string(max_request_bytes, '\x7f')));
 }
 
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -183,6 +183,45 @@
     EXPECT_EQ(parse_job_record(job_record(record))->done, record.done);
 }
 
+// Guards against completed tasks that the job does not have, and a time that overflows the clock.
+TEST(Codec, JobRecordsOutOfRangeAreUnreadable) {
+    core::JobRecord record;
+    record.spec = sample_spec();
+    record.spec.tasks = 6;
+    const auto valid = job_record(record);
+    const std::vector<std::pair<const char*, Value>> invalid_values{
+        {"done", {0, 6}},
+        {"done", {3, 2}},
+        {"done", {0}},
+        {"done", {-1, 2}},
+        {"done", {0, std::uint64_t{1} << 32}},
+        {"done", {"a", "b"}},
+        {"done", 7},
+        {"done", "04"},
+        {"done", "g"},
+        {"submitted_ms", std::numeric_limits<std::uint64_t>::max()}};
+    ASSERT_TRUE(parse_job_record(valid));
+    for (const auto& [field, value] : invalid_values) {
+        auto changed = valid;
+        changed[field] = value;
+        EXPECT_FALSE(parse_job_record(changed)) << field << " = " << value;
+    }
+}
+
+// Guards against machines that can never be recorded, because their key is none of the store's.
+TEST(Codec, MachinesHaveNamesThatAKeyCanHold) {
+    for (const auto& name : {std::string(), std::string("n 1"), std::string("n/1"),
+                             std::string("n&1"), std::string("n\n"), std::string(129, 'n')}) {
+        core::Heartbeat heartbeat;
+        heartbeat.machine = name;
+        EXPECT_FALSE(parse_heartbeat(heartbeat_body(heartbeat))) << name;
+        EXPECT_FALSE(parse_scale_out_response(to_cbor({{"spindles", {name}}}))) << name;
+    }
+    core::Heartbeat heartbeat;
+    heartbeat.machine = std::string(128, 'n');
+    EXPECT_TRUE(parse_heartbeat(heartbeat_body(heartbeat)));
+}
+
 TEST(Peer, RoundTrip) {
     const peer::Request request{peer::Op::heartbeat, 1ULL << 40, "n-1", std::string("\0\xff", 2)};
     const auto bytes = peer::pack(request);
--- a/tests/standin/malformed_messages.hpp
+++ b/tests/standin/malformed_messages.hpp
@@ -8,10 +8,14 @@
 #include <string>
 #include <utility>
 
+#include "core/model/job_spec.hpp"
 #include "wire/cbor.hpp"
 
 namespace bendspindle::standin {
 
+// A job of one short task that any machine of the stand-ins can run.
+core::JobSpec small_job(const std::string& id);
+
 // What is wrong with a message. `none` leaves it as it is.
 enum class Malformation : std::uint8_t {
     none,
