--- a/review/standin-2/platform2.py
+++ b/review/standin-2/platform2.py
@@ -228,9 +228,15 @@
 
 
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a free port below those that the system hands out by itself."""
+    while True:
+        port = random.SystemRandom().randrange(10000, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
 
 
 class Record:
@@ -389,7 +395,7 @@
 # --- Cloud ------------------------------------------------------------------------------------
 
 class Cloud:
-    """Rented machines boot for `startup_s`, longer than any case lasts after a rental."""
+    """Rented machines are up after `startup_s` and report from then on."""
 
     def __init__(self, world, kinds, list_lag):
         self.world = world
@@ -408,6 +414,15 @@
         self.machines[name] = [entry, time.monotonic() - age, time.monotonic() - age]
         return name
 
+    def _boot(self, name):
+        entry = self.machines[name][0]
+        time.sleep(self.world.kinds[entry["build"]]["startup_s"])
+        with self.lock:
+            if name in self.machines:
+                worker = Worker(self.world, self.world.kinds[entry["build"]], entry["hall"], name)
+                entry.update(stage="running", addr=worker.server.address)
+                self.world.workers[name] = worker
+
     def handle(self, method, path, body):
         path, _, query = path.partition("?")
         query = dict(part.split("=", 1) for part in query.split("&")) if query else {}
@@ -428,7 +443,10 @@
                     self.hires[request["hire"]] = [
                         self.add(request["build"], request["hall"], request["loaners"], "starting",
                                  0.0, None) for _ in range(min(request["number"], 50))]
-                    self.world.record.add("cloud rents", self.hires[request["hire"]])
+                    self.world.record.add("cloud rents", request["build"], "in", request["hall"],
+                                          self.hires[request["hire"]])
+                    for name in self.hires[request["hire"]]:
+                        threading.Thread(target=self._boot, args=(name,), daemon=True).start()
                 return 200, {"spindles": self.hires[request["hire"]]}
             for name in request["spindles"]:
                 self.world.record.add("cloud deletes", name)
@@ -443,20 +461,21 @@
 
 class Worker:
     """One machine. `world.run_time(piece)` says how long a task runs; images are on the machine
-    after `world.fetch_s` seconds. Every gang of the cases has one task."""
+    after `world.fetch_s` seconds. No task saves. Tasks fail only while the machine is `sick`."""
 
-    def __init__(self, world, kind, zone):
+    def __init__(self, world, kind, zone, name=None):
         self.world = world
         self.zone = zone
         self.kind = kind
         self.lock = threading.RLock()
         self.server = HttpServer(self._direct, self._admit)
-        self.name = world.cloud.add(kind["sku"], zone, False, "running", 100.0,
-                                    self.server.address)
+        self.name = name or world.cloud.add(kind["sku"], zone, False, "running", 100.0,
+                                            self.server.address)
         self.shift, self.tick, self.token = 1, 0, 0
         self.tasks = {}  # (piece, attempt): [stage, since, cause]
         self.renewed = time.monotonic()
         self.ended = False
+        self.sick = False
         self.changed = threading.Event()
         threading.Thread(target=self._report_for_ever, daemon=True).start()
         threading.Thread(target=self._advance_for_ever, daemon=True).start()
@@ -548,7 +567,7 @@
     def _advance_for_ever(self):
         while not self.ended:
             time.sleep(0.02)
-            with self.lock:
+            with self.world.machines_lock, self.lock:
                 now = time.monotonic()
                 if now - self.renewed > self.world.agents["lease_s"]:
                     self.world.record.add(self.name, "lease expired", list(self.pieces()))
@@ -556,13 +575,37 @@
                     self.shift += 1
                     self.renewed = now
                     self.changed.set()
-                for key, task in list(self.tasks.items()):
-                    if task[0] == "pulling" and now - task[1] >= self.world.fetch_s:
-                        self.tasks[key] = ["running", now, None]
-                        self.world.record.add(self.name, "runs", *key)
-                        self.changed.set()
-                    elif task[0] == "running" and now - task[1] >= self.world.run_time(key[0]):
-                        self._exit(key, "done")
+                for key in list(self.tasks):
+                    self._advance(key, now)
+
+    def _advance(self, key, now):
+        stage, since, _ = self.tasks[key]
+        job = key[0].rpartition("/")[0]
+        gang = self.world.jobs[job]["shape"] == "ensemble"
+        if stage == "pulling" and now - since >= self.world.fetch_s:
+            stage = "waiting" if gang else "running"
+            self._set(key, stage, now)
+        if stage == "waiting":
+            members = self.world.gang(job, key[1], ("waiting",))
+            if len(members) == self.world.jobs[job]["pieces"]:
+                for worker, member in members:
+                    worker._set(member, "running", now)
+            elif now - since > self.world.agents["gang_wait_s"]:
+                self._exit(key, "alone")
+        elif stage == "running":
+            if gang and len(self.world.gang(job, key[1], ("running", "exited"))) < \
+                    self.world.jobs[job]["pieces"]:
+                self._exit(key, "peers")
+            elif self.sick and now - since >= 0.5:
+                self._exit(key, "error")
+            elif now - since >= self.world.run_time(key[0]):
+                self._exit(key, "done")
+
+    def _set(self, key, stage, now):
+        self.tasks[key] = [stage, now, None]
+        self.changed.set()
+        self.world.record.add(self.name, "waits for its gang" if stage == "waiting" else "runs",
+                              *key)
 
     def _report_for_ever(self):
         controllers = self.world.controllers
@@ -694,6 +737,34 @@
             "time_bound_ms": 5.0}
 
 
+HUDEC_ZONES = ["brno-hall", "jihlava-hall"]
+BEAM = {"sku": "beam", "cores": 32.0, "cards": 0.0, "ram_gb": 256.0, "cache_gb": 80.0,
+        "fetch_gb_per_s": 0.6, "rate": 1.61, "spot_price": 0.5, "startup_s": 35.0,
+        "halls": HUDEC_ZONES}
+
+
+def hudec():
+    """The settings of the small deployment of Pilarna Hudec."""
+    return {"nodes": 3, "zones": HUDEC_ZONES,
+            "teams": [{"name": "yard-systems-%d" % i, "cpus": 0.0, "cpus_max": 0.0, "gpus": 0.0,
+                       "gpus_max": 0.0} for i in range(1, 17)],
+            "objectives": [{"kind": "deadline", "class": "yard-tally", "share": 0.85,
+                            "times": 1.0}],
+            "workers": {"report_s": 2.0, "lease_s": 10.0, "gang_wait_s": 50.0, "gang_peer_s": 4.0,
+                        "cancel_s": 30.0},
+            "state": {"rps": 150.0, "write_rps": 50.0, "value_kb": 32.0, "txn_ops": 12},
+            "cloud": {"rps": 5.0, "list_lag_s": 6.0},
+            "resources": {"cpu_share": 0.12, "mem_mb": 72.0, "max_sockets": 700},
+            "time_bound_ms": 5.0}
+
+
+def tally(number, **fields):
+    """A job of the class yard-tally whose tasks take most of a beam each."""
+    return job(number, lane="yard-tally", crew="yard-systems-1", shape="batch", urgency="low",
+               cores=30.0, cards=0.0, ram_gb=30.0, pull_gb=1.8, builds=None, notch_s=0.0,
+               stow_s=0.0, **fields)
+
+
 def job(number, **fields):
     """A job of one gang task that takes a whole falcon-gpu, unless the fields say otherwise."""
     spec = {"uid": "job-%06d" % number, "lane": "fraud-screen", "crew": "integrity-unit",
@@ -725,6 +796,7 @@
         self.starts = []  # (seconds, worker, piece, how)
         self.cut = set()
         self.workers = {}
+        self.machines_lock = threading.RLock()
         self.state = StateService(deployment["state"])
         self.cloud = Cloud(self, kinds, deployment["cloud"]["list_lag_s"])
         self.kinds = {kind["sku"]: kind for kind in kinds}
@@ -781,7 +853,8 @@
 
     # The processes
 
-    def start(self, program):
+    def start(self, program, first_alone=False):
+        """Starts all controllers; with `first_alone` the others once the first one leads."""
         run = _value(os.path.join(REPOSITORY, "deploy", "service.toml"), "run").split()
         run[0] = program or os.path.join(REPOSITORY, run[0])
         for controller in self.controllers:
@@ -803,6 +876,8 @@
             with open(path, "w", encoding="utf-8") as file:
                 json.dump(settings, file)
             log = open(os.path.join(self.temporary.name, controller.name + ".log"), "wb")
+            if first_alone and controller is not self.controllers[0]:
+                self.wait("the first leader", self.leader, 20)
             controller.process = subprocess.Popen(run + [path], stdout=log, stderr=log,
                                                   stdin=subprocess.DEVNULL, cwd=REPOSITORY)
 
@@ -826,6 +901,21 @@
                     kept.write(log.read())
         self.temporary.cleanup()
 
+    def gang(self, job, attempt, stages):
+        """Returns the tasks of one attempt in one of the stages: pairs of a worker and a key. An
+        exited task is one of them if it is done."""
+        return [(worker, key) for worker in self.workers.values() if not worker.ended
+                for key, task in worker.tasks.items()
+                if key[0].rpartition("/")[0] == job and key[1] == attempt and task[0] in stages
+                and task[2] in (None, "done")]
+
+    def die(self, worker):
+        """The machine stops with all that is on it. The cloud's list shows it until it is
+        deleted."""
+        self.record.add(worker.name, "in", worker.zone, "stops with", list(worker.pieces()))
+        with self.machines_lock:
+            worker.end()
+
     # Jobs and users
 
     def started(self, worker, piece, how):
