--- a/review/standin-2/platform2.py
+++ b/review/standin-2/platform2.py
@@ -461,7 +461,8 @@
 
 class Worker:
     """One machine. `world.run_time(piece)` says how long a task runs; images are on the machine
-    after `world.fetch_s` seconds. No task saves. Tasks fail only while the machine is `sick`."""
+    after `world.fetch_s` seconds. No task saves. Tasks fail only while the machine is `sick` or if
+    their job was submitted with a mistake (`world.mistaken`)."""
 
     def __init__(self, world, kind, zone, name=None):
         self.world = world
@@ -596,7 +597,7 @@
             if gang and len(self.world.gang(job, key[1], ("running", "exited"))) < \
                     self.world.jobs[job]["pieces"]:
                 self._exit(key, "peers")
-            elif self.sick and now - since >= 0.5:
+            elif (self.sick or job in self.world.mistaken) and now - since >= 0.5:
                 self._exit(key, "error")
             elif now - since >= self.world.run_time(key[0]):
                 self._exit(key, "done")
@@ -794,6 +795,7 @@
         self.jobs = {}
         self.run_times = {}
         self.starts = []  # (seconds, worker, piece, how)
+        self.mistaken = set()
         self.cut = set()
         self.workers = {}
         self.machines_lock = threading.RLock()
