--- a/review/6/case.py
+++ b/review/6/case.py
@@ -22,6 +22,7 @@
         world.submit(gang, 10.0)
         world.wait("the gang to run",
                    lambda: all(world.running("job-000200/%d" % i) for i in (0, 1)), 20)
+        time.sleep(1.0)
         if trouble:
             world.die(workers[1])
         died = world.record.now()
@@ -31,7 +32,7 @@
             status, answer, _ = world.user("GET", "/work/job-000200", timeout=2.0)
             return status == 200 and answer["stage"] == "done"
 
-        while not done[0] and world.record.now() < died + PATIENCE_S + 10.0:
+        while not done[0] and world.record.now() < died + PATIENCE_S + 3.0:
             time.sleep(5.0)
             done[0] = finished()
         if done[0]:
