--- a/review/6/case.py
+++ b/review/6/case.py
@@ -11,8 +11,8 @@
 PATIENCE_S = 90.0  # kit/more/hunt/LATER.md: "no job is left waiting for 90 s"
 
 
-def case(folder, trouble):
-    world = World(folder, hudec(), [BEAM], ["brno-hall", "brno-hall", "jihlava-hall"])
+def case(record, trouble):
+    world = World(record, hudec(), [BEAM], ["brno-hall", "brno-hall", "jihlava-hall"])
     try:
         workers = [world.add_worker("beam", zone) for zone in HUDEC_ZONES]
         world.start(os.environ.get("PROGRAM"))
