--- a/src/core/autoscaling/autoscaler.cpp
+++ b/src/core/autoscaling/autoscaler.cpp
@@ -2,14 +2,11 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
-#include <set>
 
 namespace bendspindle::core {
 
 namespace {
 
-constexpr std::uint32_t max_machines_per_request = 50;
 constexpr std::size_t max_machines_per_release = 100;
 constexpr Seconds refused_pool_backoff{15};
 // Forecast demand ranks after all waiting jobs.
@@ -17,175 +14,6 @@
 
 }  // namespace
 
-// Packs demands onto the existing machines, and onto new ones when those are full.
-class BinPacking {
-  public:
-    struct Pool {
-        PoolKey key;
-        std::size_t type = 0;
-        bool refused = false;
-        std::uint32_t machine_count = 0;
-        std::uint32_t to_scale_out = 0;
-    };
-
-    explicit BinPacking(const MachineCatalog& catalog) : catalog_(catalog) {}
-
-    void add_pool(PoolKey key, std::size_t type, bool refused) {
-        if (!index_.try_emplace(key, pools_.size()).second) return;
-        pools_.push_back({std::move(key), type, refused, 0, 0});
-    }
-    void add(const Machine& machine) {
-        const PoolKey key{machine.identity.type_name, machine.identity.zone, machine.identity.spot};
-        // The catalog may no longer offer a type in a zone where machines of that type still run.
-        add_pool(key, machine.identity.type, false);
-        const auto pool = index_.at(key);
-        ++pools_[pool].machine_count;
-        // Guards against left_waiting: a machine whose heartbeat is full of exited tasks that are
-        // not acknowledged is no capacity, and is released once it is empty.
-        auto free = catalog_[machine.identity.type].size;
-        free.heartbeat_bytes -= machine.untracked.unacknowledgeable_bytes;
-        bins_.push_back({&machine, pool, free, false});
-    }
-    void pack(const JobSpec& spec, std::uint32_t tasks, bool is_forecast);
-    const std::vector<Pool>& pools() const { return pools_; }
-    std::set<std::string> used_machines() const {
-        std::set<std::string> out;
-        for (const auto& bin : bins_)
-            if (bin.machine && bin.used) out.insert(bin.machine->identity.name);
-        return out;
-    }
-
-  private:
-    struct Bin {
-        const Machine* machine = nullptr;  // null: a machine to scale out
-        std::size_t pool = 0;
-        Resources free;
-        bool used = false;
-    };
-    // A demand while it is packed: its remaining tasks, and the price and permission of each pool.
-    struct PackingState {
-        const JobSpec& spec;
-        bool is_forecast;
-        bool same_zone;
-        std::optional<std::string> zone;
-        std::uint32_t remaining_tasks;
-        std::vector<double> price;
-        std::vector<bool> may_use;
-
-        bool excluded(const std::string& other) const {
-            return same_zone && zone && *zone != other;
-        }
-    };
-    double price_per_task(const JobSpec& spec, const Pool& pool) const;
-    static void fill(Bin& bin, PackingState& state) {
-        while (state.remaining_tasks > 0 && bin.free.holds(state.spec.need)) {
-            bin.free -= state.spec.need;
-            bin.used = true;
-            --state.remaining_tasks;
-        }
-    }
-    static bool excluded(const Bin& bin, const JobSpec& spec);
-    void pack_existing_machines(PackingState& state);
-    void pack_new_machines(PackingState& state);
-    std::optional<std::size_t> cheapest_pool(const PackingState& state) const;
-
-    const MachineCatalog& catalog_;
-    std::vector<Pool> pools_;
-    std::map<PoolKey, std::size_t> index_;
-    std::vector<Bin> bins_;
-};
-
-// Returns the price per task on a machine of the pool, including resources that stay unused.
-double BinPacking::price_per_task(const JobSpec& spec, const Pool& pool) const {
-    const auto& type = catalog_[pool.type];
-    double tasks_per_machine = std::numeric_limits<double>::max();
-    const auto apply_limit = [&](double need, double size) {
-        if (need > 0) tasks_per_machine = std::min(tasks_per_machine, std::floor(size / need));
-    };
-    apply_limit(spec.need.cpus, type.size.cpus);
-    apply_limit(spec.need.gpus, type.size.gpus);
-    apply_limit(spec.need.memory_gb, type.size.memory_gb);
-    apply_limit(spec.need.heartbeat_bytes, type.size.heartbeat_bytes);
-    return (pool.key.spot ? type.spot_price : type.price) / std::max(tasks_per_machine, 1.0);
-}
-
-void BinPacking::pack(const JobSpec& spec, std::uint32_t tasks, bool is_forecast) {
-    PackingState state{
-        spec,      is_forecast, spec.one_zone && spec.kind == Kind::gang && spec.tasks > 1,
-        spec.zone, tasks,       {},
-        {}};
-    for (const auto& pool : pools_) {
-        state.price.push_back(price_per_task(spec, pool));
-        state.may_use.push_back(allowed(spec, pool.key.type, pool.key.zone, pool.key.spot) &&
-                                catalog_.suits(spec, catalog_[pool.type]));
-    }
-    pack_existing_machines(state);
-    pack_new_machines(state);
-}
-
-// Prevents a job from waiting forever: a job that had failed on one of the machines that it needs
-// was not placed there again, and because that machine counted as capacity, none was scaled out for
-// it. The failures of a job that fails on every machine weigh too little to exclude a machine.
-bool BinPacking::excluded(const Bin& bin, const JobSpec& spec) {
-    if (!bin.machine || bin.machine->failures.weight_by_job.empty()) return false;
-    const auto failed = bin.machine->failures.weight_by_job.find(spec.id);
-    return failed != bin.machine->failures.weight_by_job.end() && failed->second >= 1;
-}
-
-void BinPacking::pack_existing_machines(PackingState& state) {
-    std::vector<std::size_t> order;
-    for (std::size_t b = 0; b < bins_.size(); ++b)
-        if (state.may_use[bins_[b].pool] && bins_[b].free.holds(state.spec.need) &&
-            !excluded(bins_[b], state.spec))
-            order.push_back(b);
-    std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
-        const auto price_a = state.price[bins_[a].pool];
-        const auto price_b = state.price[bins_[b].pool];
-        if (price_a != price_b) return price_a < price_b;
-        return bins_[a].used && !bins_[b].used;
-    });
-    for (const auto b : order) {
-        if (state.remaining_tasks == 0) return;
-        const auto& zone = pools_[bins_[b].pool].key.zone;
-        if (state.excluded(zone)) continue;
-        fill(bins_[b], state);
-        if (state.same_zone) state.zone = zone;
-    }
-}
-
-// Returns the pool with the lowest price per task, among those not recently refused by the cloud.
-std::optional<std::size_t> BinPacking::cheapest_pool(const PackingState& state) const {
-    std::optional<std::size_t> best;
-    for (std::size_t p = 0; p < pools_.size(); ++p) {
-        const auto& pool = pools_[p];
-        if (pool.refused || !state.may_use[p]) continue;
-        if (!catalog_[pool.type].size.holds(state.spec.need) || state.excluded(pool.key.zone))
-            continue;
-        // On-demand machines are not kept ready for forecast demand that may run on spot machines.
-        if (state.is_forecast && state.spec.spot && !pool.key.spot) continue;
-        if (!best || state.price[p] < state.price[*best] ||
-            (state.price[p] == state.price[*best] &&
-             pool.machine_count < pools_[*best].machine_count))
-            best = p;
-    }
-    return best;
-}
-
-void BinPacking::pack_new_machines(PackingState& state) {
-    while (state.remaining_tasks > 0) {
-        const auto best = cheapest_pool(state);
-        if (!best) return;
-        auto& pool = pools_[*best];
-        ++pool.to_scale_out;
-        ++pool.machine_count;
-        Bin bin{nullptr, *best, catalog_[pool.type].size, true};
-        fill(bin, state);
-        if (state.same_zone) state.zone = pool.key.zone;
-        bins_.push_back(bin);
-        if (pool.to_scale_out >= max_machines_per_request) return;
-    }
-}
-
 // Returns how many tasks of a job should run at once: all tasks of a gang; for an array, as many as
 // are needed to finish it by its deadline, or all of them without a deadline.
 std::uint32_t Autoscaler::wanted_tasks(const Job& job, TimePoint now) const {
@@ -354,7 +182,7 @@
         request.type = pool.key.type;
         request.zone = pool.key.zone;
         request.spot = pool.key.spot;
-        request.count = std::min(pool.to_scale_out, max_machines_per_request);
+        request.count = std::min(pool.to_scale_out, BinPacking::max_machines_per_request);
         out.scale_out.push_back(std::move(request));
     }
     out.release = scale_in(packing, now);
--- a/src/core/autoscaling/autoscaler.hpp
+++ b/src/core/autoscaling/autoscaler.hpp
@@ -5,13 +5,13 @@
 /// cloud recently refused machines, and writes the scale-in fields of `Machine::lifecycle`.
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "core/autoscaling/bin_packing.hpp"
 #include "core/autoscaling/demand_forecast.hpp"
 #include "core/cluster/job_table.hpp"
 #include "core/cluster/machine_catalog.hpp"
@@ -34,16 +34,6 @@
     std::vector<std::string> overdue;
 };
 
-/// Identifies a pool: the machines of one type and zone, either all spot or all on-demand.
-struct PoolKey {
-    std::string type;
-    std::string zone;
-    bool spot = false;
-    auto operator<=>(const PoolKey&) const = default;
-};
-
-class BinPacking;
-
 /// Plans scale-out and scale-in. One instance is created for each term, because request names
 /// contain the term.
 class Autoscaler {
