--- a/src/core/scheduling/dsmf.cpp
+++ b/src/core/scheduling/dsmf.cpp
@@ -12,24 +12,6 @@
 
 constexpr Seconds never{std::numeric_limits<double>::max()};
 
-// Returns whether one more task may be bound in the zone: at most half of the tasks of a job with
-// `spread`, rounded up, may be in one zone.
-bool spread_allows(const EligibleJob& job, const std::vector<std::uint32_t>& tasks_in_zone,
-                   std::size_t zone) {
-    if (!job.spread) return true;
-    return tasks_in_zone[zone] + 1 <= (job.total_tasks + 1) / 2;
-}
-
-// Returns whether a task may be bound in the zone: all tasks of a job with `one_zone` must be in
-// the same zone.
-bool zone_allows(const EligibleJob& job, const std::vector<std::uint32_t>& tasks_in_zone,
-                 std::size_t zone) {
-    if (!job.one_zone) return true;
-    for (std::size_t z = 0; z < tasks_in_zone.size(); ++z)
-        if (z != zone && tasks_in_zone[z] > 0) return false;
-    return true;
-}
-
 // Allocates the resources of one task on the machine and queues the fetch of its image, if needed.
 void allocate(Machine& machine, const EligibleJob& job) {
     Resources available = machine.free;
@@ -99,7 +81,7 @@
         return a.ranks_after(b);
     };
     std::vector<Candidate> heap;
-    auto tasks_in_zone = job.tasks_in_zone;
+    auto zones = job.zones;
     for (const auto m : usable) {
         if (required_zone && machines[m].zone != *required_zone) continue;
         if (!job.allows(machines[m], m)) continue;
@@ -112,15 +94,13 @@
         const auto candidate = heap.back();
         heap.pop_back();
         auto& machine = machines[candidate.machine];
-        if (!zone_allows(job, tasks_in_zone, machine.zone) ||
-            !spread_allows(job, tasks_in_zone, machine.zone))
-            continue;
+        if (!zones.allows(machine.zone)) continue;
         if (saved_machines &&
             std::none_of(saved_machines->begin(), saved_machines->end(),
                          [&](const auto& saved) { return saved.first == candidate.machine; }))
             saved_machines->push_back({candidate.machine, machine});
         allocate(machine, job);
-        ++tasks_in_zone[machine.zone];
+        zones.add_task(machine.zone);
         chosen.push_back(candidate);
         if (const auto again = find_candidate(candidate.machine)) {
             heap.push_back(*again);
@@ -137,13 +117,13 @@
                                  const Reservations& reserved) {
     std::optional<Seconds> best_finish;
     std::vector<Candidate> best;
-    const std::size_t zones_to_try = job.one_zone ? job.tasks_in_zone.size() : 1;
+    const std::size_t zones_to_try = job.zones.one_zone ? job.zones.tasks_in_zone.size() : 1;
     for (std::size_t zone = 0; zone < zones_to_try; ++zone) {
-        if (job.one_zone && !zone_allows(job, job.tasks_in_zone, zone)) continue;
+        if (job.zones.one_zone && !job.zones.allows(zone)) continue;
         SavedMachines saved_machines;
         auto chosen =
             bind_tasks(job, machines, usable, cycle, reserved,
-                       job.one_zone ? std::optional(zone) : std::nullopt, &saved_machines);
+                       job.zones.one_zone ? std::optional(zone) : std::nullopt, &saved_machines);
         for (auto& [m, saved] : saved_machines) machines[m] = std::move(saved);
         if (chosen.size() != job.tasks) continue;
         Seconds last{0};
@@ -165,12 +145,12 @@
                       Reservations& reserved) {
     std::vector<std::size_t> best;
     Seconds best_available_in = never;
-    const std::size_t zones_to_try = job.one_zone ? job.tasks_in_zone.size() : 1;
+    const std::size_t zones_to_try = job.zones.one_zone ? job.zones.tasks_in_zone.size() : 1;
     for (std::size_t zone = 0; zone < zones_to_try; ++zone) {
-        if (job.one_zone && !zone_allows(job, job.tasks_in_zone, zone)) continue;
+        if (job.zones.one_zone && !job.zones.allows(zone)) continue;
         std::vector<std::pair<Seconds, std::size_t>> available;
         for (std::size_t m = 0; m < machines.size(); ++m) {
-            if ((job.one_zone && machines[m].zone != zone) || reserved.contains(m)) continue;
+            if ((job.zones.one_zone && machines[m].zone != zone) || reserved.contains(m)) continue;
             if (!job.allows(machines[m], m)) continue;
             const auto available_in = time_until_fit(machines[m], job.need);
             if (available_in != never) available.push_back({available_in, m});
@@ -376,7 +356,7 @@
                                          : bind_tasks(job, machines, usable, cycle, reserved,
                                                       std::nullopt, nullptr);
             if (chosen.empty() && job.gang && job.tasks > 0 && pipeline.reserves_machines &&
-                !job.spread)
+                !job.zones.spread)
                 reserve_machines(job, machines, reserved);
             for (const auto& candidate : chosen)
                 result.binds.push_back(Bind{p, job.job, candidate.machine, candidate.available_in,
--- a/src/core/scheduling/dsmf.hpp
+++ b/src/core/scheduling/dsmf.hpp
@@ -17,6 +17,7 @@
 #include "core/model/image.hpp"
 #include "core/model/resources.hpp"
 #include "core/model/time.hpp"
+#include "core/scheduling/zone_constraint.hpp"
 
 namespace bendspindle::core::dsmf {
 
@@ -50,11 +51,7 @@
     std::size_t job = 0;  // index chosen by the caller
     std::uint32_t tasks = 0;
     bool gang = false;
-    bool one_zone = false;
-    bool spread = false;
-    std::uint32_t total_tasks = 0;  // total number of tasks of the job, used by `spread`
-    // Number of tasks of this job on machines of each zone, including those of earlier attempts.
-    std::vector<std::uint32_t> tasks_in_zone;
+    ZoneConstraint zones;  // counts the tasks on machines, including those of earlier attempts
     Resources need;
     ImageId image = 0;
     double image_gb = 0;
--- a/src/core/scheduling/placement_cycle.cpp
+++ b/src/core/scheduling/placement_cycle.cpp
@@ -111,13 +111,10 @@
     out.job = snapshot.jobs.size();
     out.tasks = tasks;
     out.gang = job.spec.kind == Kind::gang;
-    out.one_zone = job.spec.one_zone;
-    out.spread = job.spec.spread;
-    out.total_tasks = job.spec.tasks;
-    out.tasks_in_zone.assign(config_.zones.size(), 0);
+    out.zones = ZoneConstraint::of(job.spec, config_.zones.size());
     for (const auto& [index, assignment] : job.assignments) {
         const auto zone = config_.zone_index(inventory_.at(assignment.machine).identity.zone);
-        if (zone < out.tasks_in_zone.size()) ++out.tasks_in_zone[zone];
+        if (zone < config_.zones.size()) out.zones.add_task(zone);
     }
     out.need = job.spec.need;
     out.image = job.image;
--- a/tests/dsmf_test.cpp
+++ b/tests/dsmf_test.cpp
@@ -22,7 +22,7 @@
     j.need = {1, 0, 1};
     j.run = Seconds(run);
     j.rest_path_after = Seconds(rest);
-    j.tasks_in_zone = {0};
+    j.zones.tasks_in_zone = {0};
     return j;
 }
 
@@ -107,8 +107,8 @@
     std::vector<Pipeline> pipelines(1);
     auto j = job(0, 10, 0, 2);
     j.gang = true;
-    j.one_zone = true;
-    j.tasks_in_zone = {0, 0};
+    j.zones.one_zone = true;
+    j.zones.tasks_in_zone = {0, 0};
     pipelines[0].eligible = {j};
     std::vector<Machine> machines{machine(1), machine(1), machine(1)};
     machines[1].zone = machines[2].zone = 1;
@@ -121,9 +121,9 @@
 TEST(Dsmf, SpreadLimitsAZoneToHalfOfTheTasksRoundedUp) {
     std::vector<Pipeline> pipelines(1);
     auto j = job(0, 10, 0, 5);
-    j.spread = true;
-    j.total_tasks = 5;
-    j.tasks_in_zone = {0, 0};
+    j.zones.spread = true;
+    j.zones.total_tasks = 5;
+    j.zones.tasks_in_zone = {0, 0};
     pipelines[0].eligible = {j};
     std::vector<Machine> machines{machine(8)};
     EXPECT_EQ(place(pipelines, machines, Seconds(2)).binds.size(), 3U);
@@ -156,7 +156,7 @@
         const auto finish = finish_time(machines[m], job);
         auto single_task = job;
         single_task.tasks = 1;
-        single_task.gang = single_task.one_zone = false;
+        single_task.gang = single_task.zones.one_zone = false;
         single_task.excluded_machines.clear();
         std::vector<Machine> single_machine{machines[m]};
         std::ignore = place({Pipeline{0, {single_task}}}, single_machine, cycle);
@@ -168,7 +168,7 @@
         std::optional<Seconds> best_last_finish;
         std::vector<Machine> best_machines = machines;
         const auto original_machines = machines;
-        const std::size_t zones_to_try = job.gang && job.one_zone ? job.tasks_in_zone.size() : 1;
+        const std::size_t zones_to_try = job.gang && job.zones.one_zone ? job.zones.tasks_in_zone.size() : 1;
         for (std::size_t z = 0; z < zones_to_try; ++z) {
             machines = original_machines;
             std::vector<std::size_t> chosen;
@@ -215,8 +215,8 @@
             auto j = job(i, 5 + up_to(50), 0, 1 + static_cast<std::uint32_t>(up_to(11)));
             j.need = {1.0 + up_to(2), 0, 1};
             j.gang = up_to(1) == 1;
-            j.one_zone = j.gang && up_to(1) == 1;
-            j.tasks_in_zone = {0, 0, 0};
+            j.zones.one_zone = j.gang && up_to(1) == 1;
+            j.zones.tasks_in_zone = {0, 0, 0};
             j.image = image_id("img" + std::to_string(up_to(3)));
             j.image_gb = 1 + up_to(5);
             j.groups = {true, up_to(3) > 0, up_to(3) > 0};
