Pack services and long tasks where they run

What callers saw: a job waited for as long as services ran, while no machine had room for it and none was scaled out: two services of two replicas of 8 CPUs, one of each on each of two machines of 32 CPUs, and a job of 30 CPUs. The same with tasks of 3,000 s in place of services, and with a job bound to a zone that a service of any zone had filled.

Cause: a scaling plan packed all wanted tasks anew onto empty machines. Tasks do not move, so the plan counted room that no machine had, and went on counting it until those tasks ended.

Change: a replica of a service, and a task that is expected to hold its place for more than 120 s, is packed onto the machine that it is on. What ends sooner is packed anew as before: it makes room by itself. A machine that holds such a task counts as needed; it could not have been released anyway, but took no new tasks while the plan had no use for it.

--- a/src/core/autoscaling/autoscaler.cpp
+++ b/src/core/autoscaling/autoscaler.cpp
@@ -9,6 +9,8 @@
 
 constexpr std::size_t max_machines_per_release = 100;
 constexpr Seconds refused_pool_backoff{15};
+// A machine is scaled out for a job rather than letting it wait longer for a running task to end.
+constexpr Seconds max_wait_for_running_task{120};
 // Forecast demand ranks after all waiting jobs.
 constexpr int forecast_rank = 1000;
 
@@ -108,6 +110,18 @@
     return out;
 }
 
+// Guards against left_waiting: tasks were packed as if they could be moved, so a machine counted as
+// room for a job that no machine had room for. Tasks that end soon are still packed anew, because
+// they make room without a new machine.
+bool Autoscaler::stays_in_place(const AssignedTask& task, TimePoint now) const {
+    const auto& assignment = *task.assignment;
+    if (task.job->is_terminal() || assignment.stopping ||
+        assignment.stage == Assignment::Stage::bound)
+        return false;
+    return task.job->spec.kind == Kind::service ||
+           estimates_.remaining(*task.job, assignment, now) > max_wait_for_running_task;
+}
+
 BinPacking Autoscaler::pack_demands(const std::vector<TaskDemand>& demands, TimePoint now) const {
     BinPacking packing(catalog_);
     for (std::size_t t = 0; t < catalog_.types().size(); ++t)
@@ -130,6 +144,8 @@
             between(machine.contact.last_contact, now) > config_.workers.lease)
             continue;
         packing.add(machine);
+        for (const auto& [key, task] : machine.assigned_tasks)
+            if (stays_in_place(task, now)) packing.pin_task(task.job->spec);
     }
     for (const auto& demand : demands) packing.pack(*demand.spec, demand.tasks, demand.is_forecast);
     return packing;
--- a/src/core/autoscaling/autoscaler.hpp
+++ b/src/core/autoscaling/autoscaler.hpp
@@ -80,6 +80,8 @@
     std::uint32_t wanted_tasks(const Job& job, TimePoint now) const;
     // Returns how much longer the job may wait for resources under the objective of its class.
     Seconds start_slack(const Job& job, TimePoint now) const;
+    // Returns whether a task will keep its place for longer than another job should wait for it.
+    bool stays_in_place(const AssignedTask& task, TimePoint now) const;
     BinPacking pack_demands(const std::vector<TaskDemand>& demands, TimePoint now) const;
     std::vector<std::string> scale_in(const BinPacking& packing, TimePoint now);
 
--- a/src/core/autoscaling/bin_packing.cpp
+++ b/src/core/autoscaling/bin_packing.cpp
@@ -20,11 +20,20 @@
     return (pool.key.spot ? type.spot_price : type.price) / std::max(tasks_per_machine, 1.0);
 }
 
+std::uint32_t BinPacking::pinned_count(const JobSpec& spec) const {
+    const auto pinned = pinned_tasks_.find(&spec);
+    return pinned == pinned_tasks_.end() ? 0 : pinned->second;
+}
+
 void BinPacking::pack(const JobSpec& spec, std::uint32_t tasks, bool is_forecast) {
-    PackingState state{
-        spec,      is_forecast, spec.one_zone && spec.kind == Kind::gang && spec.tasks > 1,
-        spec.zone, tasks,       {},
-        {}};
+    const auto pinned = is_forecast ? 0 : pinned_count(spec);
+    PackingState state{spec,
+                       is_forecast,
+                       spec.one_zone && spec.kind == Kind::gang && spec.tasks > 1,
+                       spec.zone,
+                       tasks - std::min(tasks, pinned),
+                       {},
+                       {}};
     for (const auto& pool : pools_) {
         state.price.push_back(price_per_task(spec, pool));
         state.may_use.push_back(allowed(spec, pool.key.type, pool.key.zone, pool.key.spot) &&
--- a/src/core/autoscaling/bin_packing.hpp
+++ b/src/core/autoscaling/bin_packing.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "core/cluster/machine.hpp"
@@ -59,6 +60,14 @@
         free.heartbeat_bytes -= machine.untracked.unacknowledgeable_bytes;
         bins_.push_back({&machine, pool, free, false});
     }
+    /// Packs a running task onto its machine, which must be the one added last. All such tasks must
+    /// be packed before any demand; they count as part of the demand of their job.
+    void pin_task(const JobSpec& spec) {
+        bins_.back().free -= spec.need;
+        bins_.back().used = true;
+        ++pinned_tasks_[&spec];
+    }
+    /// Packs the tasks of a job, or of a forecast, that are not pinned.
     void pack(const JobSpec& spec, std::uint32_t tasks, bool is_forecast);
     const std::vector<Pool>& pools() const { return pools_; }
     std::set<std::string> used_machines() const {
@@ -89,6 +98,7 @@
             return same_zone && zone && *zone != other;
         }
     };
+    std::uint32_t pinned_count(const JobSpec& spec) const;
     double price_per_task(const JobSpec& spec, const Pool& pool) const;
     static void fill(Bin& bin, PackingState& state) {
         while (state.remaining_tasks > 0 && bin.free.holds(state.spec.need)) {
@@ -106,6 +116,7 @@
     std::vector<Pool> pools_;
     std::map<PoolKey, std::size_t> index_;
     std::vector<Bin> bins_;
+    std::unordered_map<const JobSpec*, std::uint32_t> pinned_tasks_;
 };
 
 }  // namespace bendspindle::core
--- a/src/core/scheduling/zone_constraint.hpp
+++ b/src/core/scheduling/zone_constraint.hpp
@@ -1,6 +1,6 @@
 /// The rule for the zones of a job with `one_zone` or `spread`: which zones may take another of its
-/// tasks, given where its other tasks are. Placement (`dsmf`) and autoscaling (`BinPacking`) ask the
-/// same rule: a machine on which a task may not be placed is no capacity for it.
+/// tasks, given where its other tasks are. Placement (`dsmf`) and autoscaling (`BinPacking`) ask
+/// the same rule: a machine on which a task may not be placed is no capacity for it.
 #pragma once
 
 #include <cstddef>
