Pack tasks only in zones where placement may place them

The other machine had room for both tasks; no machine was rented in the other zone. The same waited: such a gang as the first job of a cluster with one machine, also one of 121 tasks; half of the replicas of a service with `apart`; the second replica of a service with `together` on two machines in two zones. Arrays with `apart` or `together` ran in parts, one after the other.

Cause: placement asks which zones may take another task of a job, given the zones of its others; a scaling plan asked only for types, zones and spot machines, and for `together` of gangs. So it packed both tasks onto the one machine, had no need to scale out, and kept that machine as needed. Nothing would ever have changed that.

Change: the plan asks ZoneConstraint, the rule that placement uses, for each task that it packs. Running tasks of services, long ones and those of arrays with `together` stay where they are in the plan, so they decide on the zones of the rest. Zones that the settings do not name hold no capacity, as placement uses no machine there.

--- a/src/core/autoscaling/autoscaler.cpp
+++ b/src/core/autoscaling/autoscaler.cpp
@@ -75,7 +75,7 @@
     return true;
 }
 
-std::vector<Autoscaler::TaskDemand> Autoscaler::collect_demands(TimePoint now) {
+std::vector<TaskDemand> Autoscaler::collect_demands(TimePoint now) {
     std::vector<TaskDemand> out;
     std::map<std::string, ClassDemand> demand_by_class;
     std::map<std::string, std::uint32_t> requested;
@@ -118,12 +118,15 @@
     if (task.job->is_terminal() || assignment.stopping ||
         assignment.stage == Assignment::Stage::bound)
         return false;
-    return task.job->spec.kind == Kind::service ||
+    // The first task of an array with `one_zone` decides on the zone of all others.
+    const auto& spec = task.job->spec;
+    const bool decides_zone = spec.one_zone && spec.kind != Kind::gang;
+    return spec.kind == Kind::service || decides_zone ||
            estimates_.remaining(*task.job, assignment, now) > max_wait_for_running_task;
 }
 
 BinPacking Autoscaler::pack_demands(const std::vector<TaskDemand>& demands, TimePoint now) const {
-    BinPacking packing(catalog_);
+    BinPacking packing(config_, catalog_);
     for (std::size_t t = 0; t < catalog_.types().size(); ++t)
         for (const auto& zone : catalog_[t].zones)
             for (const bool spot : {true, false}) {
@@ -147,7 +150,7 @@
         for (const auto& [key, task] : machine.assigned_tasks)
             if (stays_in_place(task, now)) packing.pin_task(task.job->spec);
     }
-    for (const auto& demand : demands) packing.pack(*demand.spec, demand.tasks, demand.is_forecast);
+    for (const auto& demand : demands) packing.pack(demand);
     return packing;
 }
 
--- a/src/core/autoscaling/autoscaler.hpp
+++ b/src/core/autoscaling/autoscaler.hpp
@@ -60,13 +60,6 @@
                           TimePoint now);
 
   private:
-    // Tasks that need machines: those of a job, or those that a class is expected to submit.
-    struct TaskDemand {
-        const JobSpec* spec = nullptr;
-        std::uint32_t tasks = 0;
-        bool is_forecast = false;  // forecast, not submitted yet
-        int rank = 0;
-    };
     // A running task of a gang, its machine, and the time until the task is expected to end.
     struct ExpectedCompletion {
         Seconds in{0};
--- a/src/core/autoscaling/bin_packing.cpp
+++ b/src/core/autoscaling/bin_packing.cpp
@@ -6,6 +6,36 @@
 
 namespace bendspindle::core {
 
+void BinPacking::add_pool(PoolKey key, std::size_t type, bool refused) {
+    if (!index_.try_emplace(key, pools_.size()).second) return;
+    const auto zone = config_.zone_index(key.zone);
+    pools_.push_back({std::move(key), type, zone, refused, 0, 0});
+}
+
+void BinPacking::add(const Machine& machine) {
+    const PoolKey key{machine.identity.type_name, machine.identity.zone, machine.identity.spot};
+    // The catalog may no longer offer a type in a zone where machines of that type still run.
+    add_pool(key, machine.identity.type, false);
+    const auto pool = index_.at(key);
+    ++pools_[pool].machine_count;
+    // Guards against left_waiting: a machine whose heartbeat is full of exited tasks that are not
+    // acknowledged is no capacity, and is released once it is empty.
+    auto free = catalog_[machine.identity.type].size;
+    free.heartbeat_bytes -= machine.untracked.unacknowledgeable_bytes;
+    bins_.push_back({&machine, pool, free, false});
+}
+
+void BinPacking::pin_task(const JobSpec& spec) {
+    auto& bin = bins_.back();
+    bin.free -= spec.need;
+    bin.used = true;
+    auto& pinned = pinned_tasks_[&spec];
+    pinned.in_zone.resize(config_.zones.size());
+    ++pinned.count;
+    const auto zone = pools_[bin.pool].zone;
+    if (zone < pinned.in_zone.size()) ++pinned.in_zone[zone];
+}
+
 // Returns the price per task on a machine of the pool, including resources that stay unused.
 double BinPacking::price_per_task(const JobSpec& spec, const Pool& pool) const {
     const auto& type = catalog_[pool.type];
@@ -20,29 +50,44 @@
     return (pool.key.spot ? type.spot_price : type.price) / std::max(tasks_per_machine, 1.0);
 }
 
-std::uint32_t BinPacking::pinned_count(const JobSpec& spec) const {
-    const auto pinned = pinned_tasks_.find(&spec);
-    return pinned == pinned_tasks_.end() ? 0 : pinned->second;
-}
-
-void BinPacking::pack(const JobSpec& spec, std::uint32_t tasks, bool is_forecast) {
-    const auto pinned = is_forecast ? 0 : pinned_count(spec);
-    PackingState state{spec,
-                       is_forecast,
-                       spec.one_zone && spec.kind == Kind::gang && spec.tasks > 1,
-                       spec.zone,
-                       tasks - std::min(tasks, pinned),
-                       {},
-                       {}};
+// The forecast tasks of a class are packed as those of one job. The tasks of one-task jobs are free
+// of each other.
+BinPacking::PackingState BinPacking::start_packing(const TaskDemand& demand) const {
+    const auto& spec = *demand.spec;
+    PackingState state{spec,         demand.is_forecast,
+                       demand.tasks, ZoneConstraint::of(spec, config_.zones.size()),
+                       {},           {}};
+    if (spec.tasks <= 1) state.zones.one_zone = state.zones.spread = false;
+    if (demand.is_forecast) state.zones.total_tasks = demand.tasks;
+    if (const auto pinned = pinned_tasks_.find(&spec); pinned != pinned_tasks_.end()) {
+        state.remaining_tasks -= std::min(state.remaining_tasks, pinned->second.count);
+        state.zones.tasks_in_zone = pinned->second.in_zone;
+    }
     for (const auto& pool : pools_) {
         state.price.push_back(price_per_task(spec, pool));
         state.may_use.push_back(allowed(spec, pool.key.type, pool.key.zone, pool.key.spot) &&
                                 catalog_.suits(spec, catalog_[pool.type]));
     }
+    return state;
+}
+
+void BinPacking::pack(const TaskDemand& demand) {
+    auto state = start_packing(demand);
     pack_existing_machines(state);
     pack_new_machines(state);
 }
 
+void BinPacking::fill(Bin& bin, PackingState& state) const {
+    const auto zone = pools_[bin.pool].zone;
+    while (state.remaining_tasks > 0 && state.zones.allows(zone) &&
+           bin.free.holds(state.spec.need)) {
+        bin.free -= state.spec.need;
+        bin.used = true;
+        state.zones.add_task(zone);
+        --state.remaining_tasks;
+    }
+}
+
 // Prevents a job from waiting forever: a job that had failed on one of the machines that it needs
 // was not placed there again, and because that machine counted as capacity, none was scaled out for
 // it. The failures of a job that fails on every machine weigh too little to exclude a machine.
@@ -66,10 +111,7 @@
     });
     for (const auto b : order) {
         if (state.remaining_tasks == 0) return;
-        const auto& zone = pools_[bins_[b].pool].key.zone;
-        if (state.excluded(zone)) continue;
         fill(bins_[b], state);
-        if (state.same_zone) state.zone = zone;
     }
 }
 
@@ -79,7 +121,7 @@
     for (std::size_t p = 0; p < pools_.size(); ++p) {
         const auto& pool = pools_[p];
         if (pool.refused || !state.may_use[p]) continue;
-        if (!catalog_[pool.type].size.holds(state.spec.need) || state.excluded(pool.key.zone))
+        if (!catalog_[pool.type].size.holds(state.spec.need) || !state.zones.allows(pool.zone))
             continue;
         // On-demand machines are not kept ready for forecast demand that may run on spot machines.
         if (state.is_forecast && state.spec.spot && !pool.key.spot) continue;
@@ -100,7 +142,6 @@
         ++pool.machine_count;
         Bin bin{nullptr, *best, catalog_[pool.type].size, true};
         fill(bin, state);
-        if (state.same_zone) state.zone = pool.key.zone;
         bins_.push_back(bin);
         if (pool.to_scale_out >= max_machines_per_request) return;
     }
--- a/tests/dsmf_test.cpp
+++ b/tests/dsmf_test.cpp
@@ -168,7 +168,8 @@
         std::optional<Seconds> best_last_finish;
         std::vector<Machine> best_machines = machines;
         const auto original_machines = machines;
-        const std::size_t zones_to_try = job.gang && job.zones.one_zone ? job.zones.tasks_in_zone.size() : 1;
+        const std::size_t zones_to_try =
+            job.gang && job.zones.one_zone ? job.zones.tasks_in_zone.size() : 1;
         for (std::size_t z = 0; z < zones_to_try; ++z) {
             machines = original_machines;
             std::vector<std::size_t> chosen;
