Refuse gangs and services whose zones can never be enough

What callers saw: a gang or a service of several tasks with `apart` and either `hall` or `together`, or with machine types of one zone only, was accepted and waited for ever: at most half of its tasks, rounded up, may be in the one zone that it may use, but all of them have to run at the same time.

Cause: the check at a submission looked at one task, and at the team's limit.

Change: such a job gets 422 as one that can never run. An array with these fields is accepted: it runs in parts (zone_bound_spread_array_runs_in_parts). A job that was accepted earlier keeps its state.

--- a/src/core/cluster/machine_catalog.cpp
+++ b/src/core/cluster/machine_catalog.cpp
@@ -1,6 +1,7 @@
 #include "core/cluster/machine_catalog.hpp"
 
 #include <algorithm>
+#include <set>
 
 #include "core/model/message_size.hpp"
 
@@ -14,6 +15,18 @@
     });
 }
 
+// Returns whether all tasks of a job with `spread` can run at the same time: half of them, rounded
+// up, may be in one zone, so they need two.
+bool fits_two_zones(const JobSpec& spec, const std::vector<MachineType>& types) {
+    if (spec.one_zone) return false;
+    std::set<std::string> zones;
+    for (const auto& type : types)
+        for (const auto& zone : type.zones)
+            if (type.size.holds(spec.need) && allowed(spec, type.name, zone, false))
+                zones.insert(zone);
+    return zones.size() > 1;
+}
+
 }  // namespace
 
 bool allowed(const JobSpec& spec, const std::string& type, const std::string& zone, bool spot) {
@@ -33,6 +46,9 @@
         return type.size.holds(spec.need) && allowed_in_some_zone(spec, type);
     });
     if (!fits_some) return Feasibility::never_fits;
+    // An array may run in parts.
+    if (spec.spread && spec.tasks > 1 && spec.kind != Kind::array && !fits_two_zones(spec, types))
+        return Feasibility::never_fits;
     // The quota must allow one task of an array, but all tasks of a gang or service at once.
     const double at_once = spec.kind == Kind::array ? 1 : spec.tasks;
     const auto& limit = team->limit;
