Scale out for a job with together in a zone where the cloud has machines

What callers saw: a gang with `together` waited for as long as the cloud refused machines in one zone, while it had them in the other.

Cause: the scaling plan took the zone of the first machine with room for one of the tasks, and asked for the others there, again after each refusal. Placement tries every zone.

Change: zones that can take all remaining tasks, on machines that there are or on new ones of a pool that was not refused lately, go before zones that cannot.

--- a/src/core/autoscaling/bin_packing.cpp
+++ b/src/core/autoscaling/bin_packing.cpp
@@ -73,6 +73,7 @@
 
 void BinPacking::pack(const TaskDemand& demand) {
     auto state = start_packing(demand);
+    if (state.zones.one_zone) exclude_full_zones(state);
     pack_existing_machines(state);
     pack_new_machines(state);
 }
@@ -91,18 +92,21 @@
 // Prevents a job from waiting forever: a job that had failed on one of the machines that it needs
 // was not placed there again, and because that machine counted as capacity, none was scaled out for
 // it. The failures of a job that fails on every machine weigh too little to exclude a machine.
-bool BinPacking::excluded(const Bin& bin, const JobSpec& spec) {
+bool BinPacking::has_failed_on(const Bin& bin, const JobSpec& spec) {
     if (!bin.machine || bin.machine->failures.weight_by_job.empty()) return false;
     const auto failed = bin.machine->failures.weight_by_job.find(spec.id);
     return failed != bin.machine->failures.weight_by_job.end() && failed->second >= 1;
 }
 
+bool BinPacking::may_use(const Bin& bin, const PackingState& state) {
+    return state.may_use[bin.pool] && bin.free.holds(state.spec.need) &&
+           !has_failed_on(bin, state.spec);
+}
+
 void BinPacking::pack_existing_machines(PackingState& state) {
     std::vector<std::size_t> order;
     for (std::size_t b = 0; b < bins_.size(); ++b)
-        if (state.may_use[bins_[b].pool] && bins_[b].free.holds(state.spec.need) &&
-            !excluded(bins_[b], state.spec))
-            order.push_back(b);
+        if (may_use(bins_[b], state)) order.push_back(b);
     std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
         const auto price_a = state.price[bins_[a].pool];
         const auto price_b = state.price[bins_[b].pool];
@@ -115,19 +119,49 @@
     }
 }
 
+bool BinPacking::may_scale_out(std::size_t pool_index, const PackingState& state) const {
+    const auto& pool = pools_[pool_index];
+    if (pool.refused || !state.may_use[pool_index]) return false;
+    // On-demand machines are not kept ready for forecast demand that may run on spot machines.
+    if (state.is_forecast && state.spec.spot && !pool.key.spot) return false;
+    return catalog_[pool.type].size.holds(state.spec.need) && state.zones.allows(pool.zone);
+}
+
+// Returns whether all remaining tasks fit on the existing machines of the zone.
+bool BinPacking::fits_existing_machines(std::size_t zone, const PackingState& state) const {
+    auto tasks = state.remaining_tasks;
+    for (const auto& bin : bins_) {
+        if (tasks == 0) break;
+        if (pools_[bin.pool].zone != zone || !may_use(bin, state)) continue;
+        for (auto free = bin.free; tasks > 0 && free.holds(state.spec.need); --tasks)
+            free -= state.spec.need;
+    }
+    return tasks == 0;
+}
+
+// Guards against left_waiting: machines for a job with `one_zone` were scaled out only in the zone
+// of the first machine with room, for as long as the cloud had none there. Zones that cannot take
+// all tasks are left out, unless no zone can.
+void BinPacking::exclude_full_zones(PackingState& state) const {
+    std::vector<bool> has_room(config_.zones.size(), false);
+    for (std::size_t p = 0; p < pools_.size(); ++p)
+        if (may_scale_out(p, state)) has_room[pools_[p].zone] = true;
+    for (std::size_t zone = 0; zone < has_room.size(); ++zone)
+        if (!has_room[zone] && state.zones.allows(zone))
+            has_room[zone] = fits_existing_machines(zone, state);
+    if (std::find(has_room.begin(), has_room.end(), true) == has_room.end()) return;
+    for (std::size_t p = 0; p < pools_.size(); ++p)
+        if (pools_[p].zone < has_room.size() && !has_room[pools_[p].zone]) state.may_use[p] = false;
+}
+
 // Returns the pool with the lowest price per task, among those not recently refused by the cloud.
 std::optional<std::size_t> BinPacking::cheapest_pool(const PackingState& state) const {
     std::optional<std::size_t> best;
     for (std::size_t p = 0; p < pools_.size(); ++p) {
-        const auto& pool = pools_[p];
-        if (pool.refused || !state.may_use[p]) continue;
-        if (!catalog_[pool.type].size.holds(state.spec.need) || !state.zones.allows(pool.zone))
-            continue;
-        // On-demand machines are not kept ready for forecast demand that may run on spot machines.
-        if (state.is_forecast && state.spec.spot && !pool.key.spot) continue;
+        if (!may_scale_out(p, state)) continue;
         if (!best || state.price[p] < state.price[*best] ||
             (state.price[p] == state.price[*best] &&
-             pool.machine_count < pools_[*best].machine_count))
+             pools_[p].machine_count < pools_[*best].machine_count))
             best = p;
     }
     return best;
--- a/src/core/autoscaling/bin_packing.hpp
+++ b/src/core/autoscaling/bin_packing.hpp
@@ -97,7 +97,11 @@
     PackingState start_packing(const TaskDemand& demand) const;
     double price_per_task(const JobSpec& spec, const Pool& pool) const;
     void fill(Bin& bin, PackingState& state) const;
-    static bool excluded(const Bin& bin, const JobSpec& spec);
+    static bool has_failed_on(const Bin& bin, const JobSpec& spec);
+    static bool may_use(const Bin& bin, const PackingState& state);
+    bool may_scale_out(std::size_t pool_index, const PackingState& state) const;
+    bool fits_existing_machines(std::size_t zone, const PackingState& state) const;
+    void exclude_full_zones(PackingState& state) const;
     void pack_existing_machines(PackingState& state);
     void pack_new_machines(PackingState& state);
     std::optional<std::size_t> cheapest_pool(const PackingState& state) const;
--- a/tests/standin/simulated_cluster.cpp
+++ b/tests/standin/simulated_cluster.cpp
@@ -316,7 +316,8 @@
     for (const auto& request : plan.scale_out) {
         if (!scale_out_enabled_) continue;
         std::vector<std::string> names;
-        for (std::uint32_t i = 0; i < request.count && capacity_ > 0; ++i) {
+        const bool refused = zones_without_capacity_.contains(request.zone);
+        for (std::uint32_t i = 0; !refused && i < request.count && capacity_ > 0; ++i) {
             --capacity_;
             names.push_back(boot_machine(request).name);
         }
--- a/tests/standin/simulated_cluster.hpp
+++ b/tests/standin/simulated_cluster.hpp
@@ -184,6 +184,7 @@
     int machines_scaled_out_ = 0;
     int capacity_ = 1000;
     double boot_ = 5;
+    std::set<std::string> zones_without_capacity_;
     std::vector<std::pair<double, SimulatedAgent>> booting_;
     std::set<std::string> released_;
     std::set<std::string> unreadable_records_;  // machines whose record makes no sense
--- a/tests/standin/simulated_cluster_scenario.cpp
+++ b/tests/standin/simulated_cluster_scenario.cpp
@@ -100,6 +100,9 @@
              c.capacity_ = static_cast<int>(a.number("capacity", 1000));
              c.boot_ = a.number("boot", 5);
          }},
+        // The cloud refuses to scale out in this zone.
+        {"no-capacity",
+         [](Cluster& c, const Arguments& a) { c.zones_without_capacity_.insert(a.at(1)); }},
         // Time and leadership.
         {"run", [](Cluster& c, const Arguments& a) { c.run(a.number_at(1)); }},
         {"controller", [](Cluster& c, const Arguments&) { c.start_new_leader(); }},
@@ -203,7 +206,8 @@
     type.price = arguments.number("price", 1);
     type.spot_price = arguments.number("spot-price", 0.3);
     type.boot = Seconds(arguments.number("boot", 10));
-    type.zones = config_.zones;
+    const auto zones = arguments.option("zones");
+    type.zones = zones.empty() ? config_.zones : split(zones, ',');
     types_.push_back(type);
 }
 
