--- a/tests/randomized_simulation_test.cpp
+++ b/tests/randomized_simulation_test.cpp
@@ -10,12 +10,12 @@
 // BENDSPINDLE_RANDOM_SEEDS=FIRST,COUNT plays other seeds than those of every day.
 #include <gtest/gtest.h>
 
-#include <cstdlib>
 #include <map>
 #include <random>
 #include <string>
 #include <vector>
 
+#include "standin/seed_range.hpp"
 #include "standin/simulated_cluster.hpp"
 
 namespace bendspindle {
@@ -266,13 +266,8 @@
 }
 
 void play_seeds(UnansweredCalls calls, DrawJob draw_job = some_job, unsigned count = 150) {
-    unsigned first = 1;
-    if (const char* asked = std::getenv("BENDSPINDLE_RANDOM_SEEDS")) {
-        char* rest = nullptr;
-        first = static_cast<unsigned>(std::strtoul(asked, &rest, 10));
-        if (*rest == ',') count = static_cast<unsigned>(std::strtoul(rest + 1, nullptr, 10));
-    }
-    for (unsigned seed = first; seed < first + count; ++seed) {
+    const auto seeds = standin::asked_seeds({1, count});
+    for (auto seed = seeds.first; seed < seeds.end(); ++seed) {
         const auto lines = RandomScenario(seed, calls, draw_job).lines();
         const auto failure = failure_of(lines, calls);
         if (failure.empty()) continue;
