Keep machines that run tasks of unreadable jobs, and count no room beside them

What callers saw: shown by tests only. A job whose record a leader cannot read is left alone, and so are its tasks. Its machine was released with them once it had looked idle for a while, as none of this leader's tasks was on it. Before that, it counted as room for other jobs, although nothing is placed beside a task whose needs are unknown, so such jobs waited and no machine was scaled out.

Cause: the scaling plan took such a machine for an empty one.

Change: a machine that runs a task of a quarantined job is needed, and what such tasks may use is no room. Orphaned tasks, which are being stopped, still count as room that will open.

Evidence: AutoscalingTest.AMachineWithAQuarantinedTaskIsNoRoom (0 machines asked for in place of 1) and ...IsKept (released from 62 s on) failed with the sources before and pass.

--- a/src/core/autoscaling/bin_packing.cpp
+++ b/src/core/autoscaling/bin_packing.cpp
@@ -18,11 +18,16 @@
     add_pool(key, machine.identity.type, false);
     const auto pool = index_.at(key);
     ++pools_[pool].machine_count;
-    // Guards against left_waiting: a machine whose heartbeat is full of exited tasks that are not
-    // acknowledged is no capacity, and is released once it is empty.
     auto free = catalog_[machine.identity.type].size;
-    free.heartbeat_bytes -= machine.untracked.unacknowledgeable_bytes;
-    bins_.push_back({&machine, pool, free, false});
+    // Guards against left_waiting: nothing is placed beside tasks of unreadable jobs, nor on a
+    // machine whose heartbeat is full of exited tasks that are not acknowledged. The latter is
+    // released once it is empty, the former is needed as long as such tasks run there.
+    const bool needed = machine.untracked.has_quarantined_tasks;
+    if (needed)
+        free -= machine.untracked.resources;
+    else
+        free.heartbeat_bytes -= machine.untracked.unacknowledgeable_bytes;
+    bins_.push_back({&machine, pool, free, needed});
 }
 
 void BinPacking::pin_task(const JobSpec& spec) {
--- a/src/core/cluster/machine.hpp
+++ b/src/core/cluster/machine.hpp
@@ -114,7 +114,8 @@
     Resources resources;
     // Of the exited tasks that are not acknowledged because the record of their job is unreadable.
     double unacknowledgeable_bytes = 0;
-    bool has_unknown_tasks = false;  // of orphaned or quarantined jobs
+    bool has_unknown_tasks = false;      // of orphaned or quarantined jobs
+    bool has_quarantined_tasks = false;  // running tasks of quarantined jobs, which are left alone
     // Since when the machine has had orphaned tasks, whose jobs were in a terminal state before
     // this term.
     std::optional<TimePoint> orphaned_since;
--- a/src/core/reconciliation/task_reconciliation.cpp
+++ b/src/core/reconciliation/task_reconciliation.cpp
@@ -203,6 +203,7 @@
 void Reconciliation::update_untracked(Machine& machine, TimePoint now) const {
     machine.untracked.resources = Resources{};
     machine.untracked.has_unknown_tasks = false;
+    machine.untracked.has_quarantined_tasks = false;
     bool orphaned = false;
     double heartbeat_bytes = 0;
     machine.untracked.unacknowledgeable_bytes = 0;
@@ -222,6 +223,7 @@
         if (exited) continue;
         if (!job) {
             machine.untracked.has_unknown_tasks = true;
+            if (job_table_.quarantined(task.job)) machine.untracked.has_quarantined_tasks = true;
             orphaned = orphaned || job_table_.is_orphaned(task.job);
         } else if (!is_assigned) {
             machine.untracked.resources += job->spec.need;
