--- a/src/core/autoscaling/autoscaler.cpp
+++ b/src/core/autoscaling/autoscaler.cpp
@@ -135,17 +135,7 @@
                 packing.add_pool(key, t, until != refused_until_.end() && until->second > now);
             }
     for (const auto& [name, machine] : inventory_.all()) {
-        if (machine.draining() || machine.reachability.inbound_unreachable_since ||
-            !machine.identity.type_known)
-            continue;
-        // A machine that this term has not scaled out proves its existence within two heartbeat
-        // intervals, or does not exist.
-        if (!MachineInventory::certainly_exists(machine) &&
-            between(machine.contact.first_seen, now) > config_.workers.heartbeat * 2)
-            continue;
-        if (machine.contact.has_reported &&
-            between(machine.contact.last_contact, now) > config_.workers.lease)
-            continue;
+        if (!inventory_.is_capacity(machine, now)) continue;
         packing.add(machine);
         for (const auto& [key, task] : machine.assigned_tasks)
             if (stays_in_place(task, now)) packing.pin_task(task.job->spec);
--- a/src/core/cluster/machine_inventory.cpp
+++ b/src/core/cluster/machine_inventory.cpp
@@ -358,6 +358,19 @@
                config_.workers.heartbeat * max_missed_heartbeats + heartbeat_margin;
 }
 
+bool MachineInventory::is_capacity(const Machine& machine, TimePoint now) const {
+    const auto& contact = machine.contact;
+    if (machine.draining() || machine.reachability.inbound_unreachable_since ||
+        !machine.identity.type_known)
+        return false;
+    // A machine that this term has not scaled out proves its existence within two heartbeat
+    // intervals, or does not exist.
+    if (!certainly_exists(machine) &&
+        between(contact.first_seen, now) > config_.workers.heartbeat * 2)
+        return false;
+    return !contact.has_reported || between(contact.last_contact, now) <= config_.workers.lease;
+}
+
 std::size_t MachineInventory::unfenced_machine_count() const {
     return static_cast<std::size_t>(
         std::count_if(machines_.begin(), machines_.end(), [](const auto& entry) {
--- a/src/core/cluster/machine_inventory.hpp
+++ b/src/core/cluster/machine_inventory.hpp
@@ -100,6 +100,10 @@
 
     /// Returns whether tasks may be placed and started on the machine.
     [[nodiscard]] bool usable(const Machine& machine, TimePoint now) const;
+    /// Returns whether the machine is usable or is expected to become so: it boots, is yet to be
+    /// fenced or recorded, or has missed a few heartbeats. Each of these ends soon, or the machine
+    /// is released.
+    [[nodiscard]] bool is_capacity(const Machine& machine, TimePoint now) const;
     /// Returns whether the constraints of the job allow the machine's type, zone and spot status.
     [[nodiscard]] bool allows(const JobSpec& spec, const Machine& machine) const {
         const auto& identity = machine.identity;
