Test the scaling plan's guards one by one

With each guard of the last changes taken out once, two were held by no test: that existing machines count in a zone where the cloud has none, and that a running task of an array with one_zone stays where it is.

--- a/tests/autoscaling_test.cpp
+++ b/tests/autoscaling_test.cpp
@@ -1,6 +1,7 @@
-// Scaling plans of a core that is called directly.
+// Scaling plans of a core that is called directly, and the packing that they are made from.
 #include <gtest/gtest.h>
 
+#include "core/autoscaling/bin_packing.hpp"
 #include "standin/one_machine.hpp"
 
 namespace bendspindle::core {
@@ -47,5 +48,71 @@
     }
 }
 
+// Two machines of 8 CPUs in zone a; the cloud has machines in zone b only.
+class BinPackingTest : public testing::Test {
+  protected:
+    BinPackingTest() {
+        config_.zones = {"a", "b"};
+        MachineType type;
+        type.name = "g8";
+        type.size = {8, 0, 64};
+        type.zones = config_.zones;
+        catalog_.set({type});
+        packing_.add_pool({"g8", "a", false}, 0, true);
+        packing_.add_pool({"g8", "b", false}, 0, false);
+        packing_.add(first_);
+        packing_.add(second_);
+    }
+    static Machine machine(const std::string& name) {
+        Machine out;
+        out.identity = {name, {}, 0, true, "g8", "a", false};
+        return out;
+    }
+    static JobSpec one_zone_gang(std::uint32_t tasks) {
+        JobSpec out;
+        out.kind = Kind::gang;
+        out.tasks = tasks;
+        out.need = {6, 0, 1};
+        out.one_zone = true;
+        return out;
+    }
+    std::uint32_t machines_to_scale_out() const {
+        std::uint32_t out = 0;
+        for (const auto& pool : packing_.pools()) out += pool.to_scale_out;
+        return out;
+    }
+
+    Config config_;
+    MachineCatalog catalog_;
+    const Machine first_ = machine("m1");
+    const Machine second_ = machine("m2");
+    BinPacking packing_{config_, catalog_};
+};
+
+TEST_F(BinPackingTest, AOneZoneGangUsesTheMachinesOfAZoneWithoutCapacity) {
+    const auto spec = one_zone_gang(2);
+    packing_.pack({&spec, spec.tasks, false, 0});
+    EXPECT_EQ(machines_to_scale_out(), 0U);
+    EXPECT_EQ(packing_.used_machines(), (std::set<std::string>{"m1", "m2"}));
+}
+
+// Guards against left_waiting: the third machine was asked for where the cloud had none.
+TEST_F(BinPackingTest, AOneZoneGangLeavesAZoneWithoutCapacityThatIsTooSmall) {
+    const auto spec = one_zone_gang(3);
+    packing_.pack({&spec, spec.tasks, false, 0});
+    EXPECT_EQ(machines_to_scale_out(), 3U);
+    EXPECT_TRUE(packing_.used_machines().empty());
+}
+
+// The limit of a zone follows the number of forecast tasks, not that of one job.
+TEST_F(BinPackingTest, AForecastOfSpreadGangsFillsItsZonesEvenly) {
+    auto spec = one_zone_gang(2);
+    spec.one_zone = false;
+    spec.spread = true;
+    packing_.pack({&spec, 4, true, 0});
+    EXPECT_EQ(machines_to_scale_out(), 2U);
+    EXPECT_EQ(packing_.used_machines(), (std::set<std::string>{"m1", "m2"}));
+}
+
 }  // namespace
 }  // namespace bendspindle::core
