--- a/tests/autoscaling_test.cpp
+++ b/tests/autoscaling_test.cpp
@@ -104,6 +104,13 @@
     EXPECT_TRUE(packing_.used_machines().empty());
 }
 
+TEST_F(BinPackingTest, OneTaskJobsWithOneZoneNeedNotShareAZone) {
+    const auto spec = one_zone_gang(1);
+    packing_.pack({&spec, 3, true, 0});
+    EXPECT_EQ(machines_to_scale_out(), 1U);
+    EXPECT_EQ(packing_.used_machines(), (std::set<std::string>{"m1", "m2"}));
+}
+
 // The limit of a zone follows the number of forecast tasks, not that of one job.
 TEST_F(BinPackingTest, AForecastOfSpreadGangsFillsItsZonesEvenly) {
     auto spec = one_zone_gang(2);
