Place the tasks of a job with together where most of them fit

What callers saw: the first replica of a service with `together` was placed where it would be up the earliest. If no other had room in that zone, the rest waited, although another zone had room for all of them; without machines to scale out, for as long as the service ran.

Cause: placement tried each zone for gangs only. For other jobs the first task decided.

Change: for every job with `together` placement tries each zone that its running tasks allow, and takes the one in which most tasks fit, or of several such, the one where the last finishes earliest. Decisions on gangs stay as they were. The trial of a zone keeps the machines that it changes in a map, as an array may have thousands of tasks.

--- a/src/core/scheduling/dsmf.cpp
+++ b/src/core/scheduling/dsmf.cpp
@@ -53,7 +53,7 @@
 }
 
 // Copies of machines, by index, from before a tentative binding changed them.
-using SavedMachines = std::vector<std::pair<std::size_t, Machine>>;
+using SavedMachines = std::map<std::size_t, Machine>;
 
 // Machines reserved for a gang, by index, and the time until all machines of that gang have the
 // resources.
@@ -95,10 +95,7 @@
         heap.pop_back();
         auto& machine = machines[candidate.machine];
         if (!zones.allows(machine.zone)) continue;
-        if (saved_machines &&
-            std::none_of(saved_machines->begin(), saved_machines->end(),
-                         [&](const auto& saved) { return saved.first == candidate.machine; }))
-            saved_machines->push_back({candidate.machine, machine});
+        if (saved_machines) saved_machines->try_emplace(candidate.machine, machine);
         allocate(machine, job);
         zones.add_task(machine.zone);
         chosen.push_back(candidate);
@@ -110,12 +107,14 @@
     return chosen;
 }
 
-// Binds all tasks of a gang or none. With `one_zone`, each zone is tried, and the zone in which the
-// last task finishes earliest is chosen.
-std::vector<Candidate> bind_gang(const EligibleJob& job, std::vector<Machine>& machines,
-                                 const std::vector<std::size_t>& usable, Seconds cycle,
-                                 const Reservations& reserved) {
-    std::optional<Seconds> best_finish;
+// Binds the tasks of a job that must be bound together: all tasks of a gang or none, and the tasks
+// of a job with `one_zone` in the zone that takes the most of them, or of several such zones, in
+// the one where the last task finishes earliest. Otherwise the first task of a service would bind
+// the others to a zone without room while another zone had room for all.
+std::vector<Candidate> bind_together(const EligibleJob& job, std::vector<Machine>& machines,
+                                     const std::vector<std::size_t>& usable, Seconds cycle,
+                                     const Reservations& reserved) {
+    Seconds best_finish = never;
     std::vector<Candidate> best;
     const std::size_t zones_to_try = job.zones.one_zone ? job.zones.tasks_in_zone.size() : 1;
     for (std::size_t zone = 0; zone < zones_to_try; ++zone) {
@@ -125,10 +124,11 @@
             bind_tasks(job, machines, usable, cycle, reserved,
                        job.zones.one_zone ? std::optional(zone) : std::nullopt, &saved_machines);
         for (auto& [m, saved] : saved_machines) machines[m] = std::move(saved);
-        if (chosen.size() != job.tasks) continue;
+        if (job.gang && chosen.size() != job.tasks) continue;
         Seconds last{0};
         for (const auto& candidate : chosen) last = std::max(last, candidate.finish);
-        if (best_finish && last >= *best_finish) continue;
+        if (chosen.size() < best.size() || (chosen.size() == best.size() && last >= best_finish))
+            continue;
         best_finish = last;
         best = std::move(chosen);
     }
@@ -352,9 +352,10 @@
         const auto& pipeline = pipelines[p];
         for (const auto j : job_order(rpm[p])) {
             const auto& job = pipeline.eligible[j];
-            const auto chosen = job.gang ? bind_gang(job, machines, usable, cycle, reserved)
-                                         : bind_tasks(job, machines, usable, cycle, reserved,
-                                                      std::nullopt, nullptr);
+            const auto chosen =
+                job.gang || job.zones.one_zone
+                    ? bind_together(job, machines, usable, cycle, reserved)
+                    : bind_tasks(job, machines, usable, cycle, reserved, std::nullopt, nullptr);
             if (chosen.empty() && job.gang && job.tasks > 0 && pipeline.reserves_machines &&
                 !job.zones.spread)
                 reserve_machines(job, machines, reserved);
--- a/tests/dsmf_test.cpp
+++ b/tests/dsmf_test.cpp
@@ -118,6 +118,36 @@
     EXPECT_EQ(machines[result.binds[1].machine].zone, 1U);
 }
 
+// Guards against left_waiting: the first task was bound where it finished earliest, and the others
+// had to wait for room in that zone while another one had room for all.
+TEST(Dsmf, OneZoneArrayIsBoundWhereMostOfItsTasksFit) {
+    std::vector<Pipeline> pipelines(1);
+    auto j = job(0, 10, 0, 3);
+    j.zones.one_zone = true;
+    j.zones.tasks_in_zone = {0, 0};
+    pipelines[0].eligible = {j};
+    std::vector<Machine> machines{machine(1), machine(1), machine(1)};
+    machines[0].speed = 2;
+    machines[1].zone = machines[2].zone = 1;
+    const auto result = place(pipelines, machines, Seconds(2));
+    ASSERT_EQ(result.binds.size(), 2U);
+    EXPECT_EQ(machines[result.binds[0].machine].zone, 1U);
+    EXPECT_EQ(machines[result.binds[1].machine].zone, 1U);
+}
+
+TEST(Dsmf, OneZoneArrayStaysInTheZoneOfItsTasks) {
+    std::vector<Pipeline> pipelines(1);
+    auto j = job(0, 10, 0, 2);
+    j.zones.one_zone = true;
+    j.zones.tasks_in_zone = {1, 0};
+    pipelines[0].eligible = {j};
+    std::vector<Machine> machines{machine(1), machine(1), machine(1)};
+    machines[1].zone = machines[2].zone = 1;
+    const auto result = place(pipelines, machines, Seconds(2));
+    ASSERT_EQ(result.binds.size(), 1U);
+    EXPECT_EQ(result.binds[0].machine, 0U);
+}
+
 TEST(Dsmf, SpreadLimitsAZoneToHalfOfTheTasksRoundedUp) {
     std::vector<Pipeline> pipelines(1);
     auto j = job(0, 10, 0, 5);
