--- a/tests/dsmf_test.cpp
+++ b/tests/dsmf_test.cpp
@@ -103,16 +103,25 @@
     EXPECT_EQ(place(pipelines, machines, Seconds(2)).binds.size(), 3U);
 }
 
-TEST(Dsmf, OneZoneGangIsBoundInAZoneThatFitsAllTasks) {
-    std::vector<Pipeline> pipelines(1);
-    auto j = job(0, 10, 0, 2);
-    j.gang = true;
-    j.zones.one_zone = true;
-    j.zones.tasks_in_zone = {0, 0};
-    pipelines[0].eligible = {j};
+// One machine for a task each in zone 0, and two in zone 1.
+std::vector<Machine> machines_in_two_zones() {
     std::vector<Machine> machines{machine(1), machine(1), machine(1)};
     machines[1].zone = machines[2].zone = 1;
-    const auto result = place(pipelines, machines, Seconds(2));
+    return machines;
+}
+
+std::vector<Pipeline> one_zone_pipeline(std::uint32_t tasks, bool gang,
+                                        const std::vector<std::uint32_t>& tasks_in_zone) {
+    auto j = job(0, 10, 0, tasks);
+    j.gang = gang;
+    j.zones.one_zone = true;
+    j.zones.tasks_in_zone = tasks_in_zone;
+    return {Pipeline{0, {j}}};
+}
+
+TEST(Dsmf, OneZoneGangIsBoundInAZoneThatFitsAllTasks) {
+    auto machines = machines_in_two_zones();
+    const auto result = place(one_zone_pipeline(2, true, {0, 0}), machines, Seconds(2));
     ASSERT_EQ(result.binds.size(), 2U);
     EXPECT_EQ(machines[result.binds[0].machine].zone, 1U);
     EXPECT_EQ(machines[result.binds[1].machine].zone, 1U);
@@ -121,29 +130,17 @@
 // Guards against left_waiting: the first task was bound where it finished earliest, and the others
 // had to wait for room in that zone while another one had room for all.
 TEST(Dsmf, OneZoneArrayIsBoundWhereMostOfItsTasksFit) {
-    std::vector<Pipeline> pipelines(1);
-    auto j = job(0, 10, 0, 3);
-    j.zones.one_zone = true;
-    j.zones.tasks_in_zone = {0, 0};
-    pipelines[0].eligible = {j};
-    std::vector<Machine> machines{machine(1), machine(1), machine(1)};
+    auto machines = machines_in_two_zones();
     machines[0].speed = 2;
-    machines[1].zone = machines[2].zone = 1;
-    const auto result = place(pipelines, machines, Seconds(2));
+    const auto result = place(one_zone_pipeline(3, false, {0, 0}), machines, Seconds(2));
     ASSERT_EQ(result.binds.size(), 2U);
     EXPECT_EQ(machines[result.binds[0].machine].zone, 1U);
     EXPECT_EQ(machines[result.binds[1].machine].zone, 1U);
 }
 
 TEST(Dsmf, OneZoneArrayStaysInTheZoneOfItsTasks) {
-    std::vector<Pipeline> pipelines(1);
-    auto j = job(0, 10, 0, 2);
-    j.zones.one_zone = true;
-    j.zones.tasks_in_zone = {1, 0};
-    pipelines[0].eligible = {j};
-    std::vector<Machine> machines{machine(1), machine(1), machine(1)};
-    machines[1].zone = machines[2].zone = 1;
-    const auto result = place(pipelines, machines, Seconds(2));
+    auto machines = machines_in_two_zones();
+    const auto result = place(one_zone_pipeline(2, false, {1, 0}), machines, Seconds(2));
     ASSERT_EQ(result.binds.size(), 1U);
     EXPECT_EQ(result.binds[0].machine, 0U);
 }
