--- a/tests/dsmf_test.cpp
+++ b/tests/dsmf_test.cpp
@@ -110,6 +110,12 @@
     return machines;
 }
 
+void expect_two_binds_in_zone_1(const Result& result, const std::vector<Machine>& machines) {
+    ASSERT_EQ(result.binds.size(), 2U);
+    EXPECT_EQ(machines[result.binds[0].machine].zone, 1U);
+    EXPECT_EQ(machines[result.binds[1].machine].zone, 1U);
+}
+
 std::vector<Pipeline> one_zone_pipeline(std::uint32_t tasks, bool gang,
                                         const std::vector<std::uint32_t>& tasks_in_zone) {
     auto j = job(0, 10, 0, tasks);
@@ -122,9 +128,7 @@
 TEST(Dsmf, OneZoneGangIsBoundInAZoneThatFitsAllTasks) {
     auto machines = machines_in_two_zones();
     const auto result = place(one_zone_pipeline(2, true, {0, 0}), machines, Seconds(2));
-    ASSERT_EQ(result.binds.size(), 2U);
-    EXPECT_EQ(machines[result.binds[0].machine].zone, 1U);
-    EXPECT_EQ(machines[result.binds[1].machine].zone, 1U);
+    expect_two_binds_in_zone_1(result, machines);
 }
 
 // Guards against left_waiting: the first task was bound where it finished earliest, and the others
@@ -133,9 +137,7 @@
     auto machines = machines_in_two_zones();
     machines[0].speed = 2;
     const auto result = place(one_zone_pipeline(3, false, {0, 0}), machines, Seconds(2));
-    ASSERT_EQ(result.binds.size(), 2U);
-    EXPECT_EQ(machines[result.binds[0].machine].zone, 1U);
-    EXPECT_EQ(machines[result.binds[1].machine].zone, 1U);
+    expect_two_binds_in_zone_1(result, machines);
 }
 
 TEST(Dsmf, OneZoneArrayStaysInTheZoneOfItsTasks) {
